--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
 	"github.com/laburnumring/laburnumring/internal/ticket"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/server"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -38,6 +39,8 @@
 	Log laburnumring.Log
 	// Backend runs requests.
 	Backend laburnumring.Backend
+	// LogTraffic counts the bytes exchanged with the platform.
+	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
@@ -61,7 +64,7 @@
 // Agent is one running agent.
 type Agent struct {
 	o       Options
-	counter *peer.Counter
+	counter *traffic.Counter
 	rpc     *rpc.Server
 	// runs owns the goroutines of running requests.
 	runs sync.WaitGroup
@@ -100,7 +103,7 @@
 	b := board.New()
 	a := &Agent{
 		o:        o,
-		counter:  &peer.Counter{},
+		counter:  &traffic.Counter{},
 		rpc:      rpc.NewServer(),
 		metrics:  newMetrics(),
 		board:    b,
@@ -114,6 +117,8 @@
 		Order:       share.NewLocal(a.weight),
 	})
 	a.admission.SetServerUp(false)
+	a.counter.Register(a.metrics.registry, "peer")
+	o.LogTraffic.Register(a.metrics.registry, "platform")
 	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
 		return nil, fmt.Errorf("register rpc service: %w", err)
 	}
--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/settings"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/pkg/server"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -26,6 +27,7 @@
 		if err != nil {
 			return err
 		}
+		bytes := &traffic.Counter{}
 		a, err := agent.New(agent.Options{
 			Server: server.New(s.Server, server.Options{
 				Service: s.Service, Place: s.Place, Address: s.ServerAddress, Agent: s.Listen, Slots: s.Slots,
@@ -33,8 +35,9 @@
 			Kind:          s.Kind,
 			Incarnation:   router.NewIncarnation(),
 			Clock:         wallclock.New(),
-			Log:           platform.NewLog(s.Log),
+			Log:           platform.NewLog(s.Log, bytes),
 			Backend:       newBackend(s),
+			LogTraffic:    bytes,
 			Logger:        event.NewLogger(env.stderr, s.LogFormat, "agent"),
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
 		})
--- a/internal/commands/config.go
+++ b/internal/commands/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/platform"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
@@ -41,7 +42,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, *limit)
 		defer cancel()
-		p := configuration.NewPublisher(platform.NewLog(*address), publishPause)
+		p := configuration.NewPublisher(platform.NewLog(*address, &traffic.Counter{}), publishPause)
 		version, err := p.Publish(ctx, uuid.NewString(), *from, text)
 		if err != nil {
 			return err
@@ -55,7 +56,7 @@
 	cmd := configCommand(app).Command("show", "Print the configuration that the platform's log holds.")
 	address := cmd.Flag("log", "The IP address and port of the platform's log.").Required().String()
 	return cmd.FullCommand(), func(ctx context.Context) error {
-		p := configuration.NewPublisher(platform.NewLog(*address), publishPause)
+		p := configuration.NewPublisher(platform.NewLog(*address, &traffic.Counter{}), publishPause)
 		r, err := p.Current(ctx)
 		if err != nil {
 			return err
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -11,6 +11,7 @@
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/settings"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
 )
 
@@ -22,12 +23,14 @@
 		if err != nil {
 			return err
 		}
+		bytes := &traffic.Counter{}
 		r := router.New(router.Options{
 			Name:          s.Name,
 			Incarnation:   router.NewIncarnation(),
 			Clock:         wallclock.New(),
-			Log:           platform.NewLog(s.Log),
-			VMs:           platform.NewVMs(s.VMs),
+			Log:           platform.NewLog(s.Log, bytes),
+			VMs:           platform.NewVMs(s.VMs, bytes),
+			LogTraffic:    bytes,
 			Logger:        event.NewLogger(env.stderr, s.LogFormat, "router"),
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
 			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -9,48 +9,16 @@
 	"net"
 	"net/http"
 	"net/rpc"
-	"sync/atomic"
-)
-
-// Counter counts the bytes of control connections.
-type Counter struct {
-	in  atomic.Int64
-	out atomic.Int64
-}
-
-// In returns the bytes received.
-func (c *Counter) In() int64 { return c.in.Load() }
-
-// Out returns the bytes sent.
-func (c *Counter) Out() int64 { return c.out.Load() }
-
-// Wrap returns conn with its bytes counted.
-func (c *Counter) Wrap(conn net.Conn) net.Conn {
-	return &countedConn{Conn: conn, c: c}
-}
+	"time"
 
-type countedConn struct {
-	net.Conn
-	c *Counter
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.c.in.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.c.out.Add(int64(n))
-	return n, err
-}
+	"github.com/laburnumring/laburnumring/internal/traffic"
+)
 
 // connected is the status line by which a server agrees to speak net/rpc.
 const connected = "200 Connected to Go RPC"
 
 // Dial opens a net/rpc connection to the agent at address. A nil cfg means no TLS.
-func Dial(ctx context.Context, address string, cfg *tls.Config, c *Counter) (*rpc.Client, error) {
+func Dial(ctx context.Context, address string, cfg *tls.Config, c *traffic.Counter) (*rpc.Client, error) {
 	conn, err := dialConn(ctx, address, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("dial agent %s: %w", address, err)
@@ -63,7 +31,7 @@
 		_ = conn.Close()
 		return nil, fmt.Errorf("open rpc to agent %s: %w", address, err)
 	}
-	_ = conn.SetDeadline(noDeadline)
+	_ = conn.SetDeadline(time.Time{})
 	return rpc.NewClient(conn), nil
 }
 
@@ -90,7 +58,7 @@
 }
 
 // Serve answers a CONNECT request with calls to server until the connection ends.
-func Serve(w http.ResponseWriter, r *http.Request, server *rpc.Server, c *Counter) {
+func Serve(w http.ResponseWriter, r *http.Request, server *rpc.Server, c *traffic.Counter) {
 	if r.Method != http.MethodConnect {
 		http.Error(w, "CONNECT is required", http.StatusMethodNotAllowed)
 		return
--- a/internal/peer/deadline.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package peer
-
-import "time"
-
-// noDeadline clears a connection's deadline.
-var noDeadline time.Time
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -30,9 +31,9 @@
 // maxResponse bounds what one call may return.
 const maxResponse = 32 << 20
 
-// NewLog returns a client of the log service at address.
-func NewLog(address string) *Log {
-	return &Log{address: address, hc: &http.Client{}}
+// NewLog returns a client of the log service at address whose bytes are counted by c.
+func NewLog(address string, c *traffic.Counter) *Log {
+	return &Log{address: address, hc: &http.Client{Transport: c.Transport()}}
 }
 
 // Append implements laburnumring.LogAppender.
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 )
 
 // VMs is a client of the platform's VM list.
@@ -15,9 +16,9 @@
 
 var _ laburnumring.VMLister = (*VMs)(nil)
 
-// NewVMs returns a client of the VM list at address.
-func NewVMs(address string) *VMs {
-	return &VMs{address: address, hc: &http.Client{}}
+// NewVMs returns a client of the VM list at address whose bytes are counted by c.
+func NewVMs(address string, c *traffic.Counter) *VMs {
+	return &VMs{address: address, hc: &http.Client{Transport: c.Transport()}}
 }
 
 // VMs implements laburnumring.VMLister.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,8 +15,8 @@
 	"github.com/laburnumring/laburnumring/internal/dispatch"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/membership"
-	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/placement"
+	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -30,6 +30,8 @@
 	// Log is the platform's log and VMs its VM list.
 	Log laburnumring.Log
 	VMs laburnumring.VMLister
+	// LogTraffic counts the bytes exchanged with the platform.
+	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
 	// TLS is used towards agents; nil means no TLS.
@@ -54,7 +56,7 @@
 type Router struct {
 	o       Options
 	id      string
-	counter *peer.Counter
+	counter *traffic.Counter
 	metrics *metrics
 	data    *http.Client
 
@@ -86,7 +88,7 @@
 	r := &Router{
 		o:          o,
 		id:         o.Name + "." + o.Incarnation,
-		counter:    &peer.Counter{},
+		counter:    &traffic.Counter{},
 		metrics:    newMetrics(),
 		data:       newDataClient(o.TLS),
 		board:      b,
@@ -99,6 +101,8 @@
 		links: make(map[string]*link),
 		calls: make(map[string]*call),
 	}
+	r.counter.Register(r.metrics.registry, "peer")
+	o.LogTraffic.Register(r.metrics.registry, "platform")
 	return r
 }
 
