--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,8 +49,8 @@
 
 // Intervals of the agent's loops.
 const (
-	tickInterval    = 20 * time.Millisecond
-	probeInterval   = 200 * time.Millisecond
+	tickInterval    = 50 * time.Millisecond
+	probeInterval   = 500 * time.Millisecond
 	probeTimeout    = 1 * time.Second
 	logPollInterval = 1 * time.Second
 	// sessionLife is how long a router may be silent before its tickets are dropped.
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -91,45 +93,57 @@
 	}
 }
 
-// ticksPerSecond is the unit of processor time in the kernel's process table.
-const ticksPerSecond = 100
-
-// Positions of fields after the program's name in a line of the process table.
-const (
-	fieldUserTime   = 11
-	fieldSystemTime = 12
-	fieldResident   = 21
-)
-
 // Usage reads what the process has used.
 func (p *Process) Usage() (Usage, error) {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	root := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
+	cpu, err := processorTime(root)
 	if err != nil {
-		return Usage{}, fmt.Errorf("read usage of %s: %w", p.name, err)
+		return Usage{}, fmt.Errorf("read processor time of %s: %w", p.name, err)
 	}
-	return parseUsage(string(data))
+	resident, err := residentBytes(root)
+	if err != nil {
+		return Usage{}, fmt.Errorf("read memory of %s: %w", p.name, err)
+	}
+	return Usage{CPU: cpu, Resident: resident}, nil
 }
 
-func parseUsage(line string) (Usage, error) {
-	_, rest, ok := strings.Cut(line, ") ")
-	fields := strings.Fields(rest)
-	if !ok || len(fields) <= fieldResident {
-		return Usage{}, fmt.Errorf("process table line %q is too short", line)
-	}
-	user, err := strconv.ParseInt(fields[fieldUserTime], 10, 64)
+// processorTime adds up the time of a process's threads, which the kernel gives in nanoseconds.
+func processorTime(root string) (time.Duration, error) {
+	files, err := filepath.Glob(root + "/task/*/schedstat")
 	if err != nil {
-		return Usage{}, err
+		return 0, err
 	}
-	system, err := strconv.ParseInt(fields[fieldSystemTime], 10, 64)
-	if err != nil {
-		return Usage{}, err
+	var sum time.Duration
+	for _, file := range files {
+		n, err := readField(file, 0)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		sum += time.Duration(n)
 	}
-	pages, err := strconv.ParseInt(fields[fieldResident], 10, 64)
+	return sum, nil
+}
+
+// residentField is the position of the resident pages in a process's memory counts.
+const residentField = 1
+
+func residentBytes(root string) (int64, error) {
+	pages, err := readField(root+"/statm", residentField)
+	return pages * int64(os.Getpagesize()), err
+}
+
+// readField reads the i-th whole number of a file.
+func readField(file string, i int) (int64, error) {
+	data, err := os.ReadFile(file)
 	if err != nil {
-		return Usage{}, err
+		return 0, err
+	}
+	fields := strings.Fields(string(data))
+	if i >= len(fields) {
+		return 0, fmt.Errorf("%s has %d fields", file, len(fields))
 	}
-	return Usage{
-		CPU:      time.Duration(user+system) * time.Second / ticksPerSecond,
-		Resident: pages * int64(os.Getpagesize()),
-	}, nil
+	return strconv.ParseInt(fields[i], 10, 64)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,7 +44,7 @@
 
 // Intervals of the router's loops.
 const (
-	tickInterval    = 10 * time.Millisecond
+	tickInterval    = 25 * time.Millisecond
 	logPollInterval = 1 * time.Second
 	vmPollInterval  = 1 * time.Second
 )
