follower: Follow the configuration stream in one place

Change: internal/follower reads the stream into a controller under the process's lock; internal/interval holds Every and Sleep. No behaviour changes.

Ruled out: a loop inside internal/configuration, whose controller must stay free of goroutines.

Conclusion: the rule for retention and peers can be built once.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,8 @@
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/follower"
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
@@ -49,10 +51,9 @@
 
 // Intervals of the agent's loops.
 const (
-	tickInterval    = 20 * time.Millisecond
-	probeInterval   = 200 * time.Millisecond
-	probeTimeout    = 1 * time.Second
-	logPollInterval = 1 * time.Second
+	tickInterval  = 20 * time.Millisecond
+	probeInterval = 200 * time.Millisecond
+	probeTimeout  = 1 * time.Second
 	// sessionLife is how long a router may be silent before its tickets are dropped.
 	sessionLife = 2 * clock.Second
 	// offersWait is the longest that a call for offers waits.
@@ -70,6 +71,8 @@
 	runs sync.WaitGroup
 	// metrics counts what happens.
 	metrics *metrics
+	// follower keeps config up to date.
+	follower *follower.Follower
 
 	mu sync.Mutex
 	// board, config and admission are guarded by mu, as are the maps.
@@ -119,6 +122,9 @@
 	a.admission.SetServerUp(false)
 	a.counter.Register(a.metrics.registry, "peer")
 	o.LogTraffic.Register(a.metrics.registry, "platform")
+	a.follower = follower.New(follower.Options{
+		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: func() {},
+	})
 	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
 		return nil, fmt.Errorf("register rpc service: %w", err)
 	}
@@ -129,7 +135,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.logLoop} {
+	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run} {
 		wg.Go(func() { loop(loops) })
 	}
 	a.o.Logger.Log(event.Started, "server", a.o.Server.Name(), "incarnation", a.o.Incarnation)
@@ -189,7 +195,7 @@
 }
 
 func (a *Agent) tickLoop(ctx context.Context) {
-	every(ctx, tickInterval, a.tick)
+	interval.Every(ctx, tickInterval, a.tick)
 }
 
 func (a *Agent) tick() {
@@ -248,7 +254,7 @@
 }
 
 func (a *Agent) probeLoop(ctx context.Context) {
-	every(ctx, probeInterval, func() {
+	interval.Every(ctx, probeInterval, func() {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		a.setServerUp(a.o.Backend.Probe(probe) == nil)
@@ -273,67 +279,6 @@
 	a.wakeIdle()
 }
 
-func (a *Agent) logLoop(ctx context.Context) {
-	var next int64
-	reachable := true
-	for ctx.Err() == nil {
-		page, err := a.o.Log.Read(ctx, configuration.Stream, next, clock.FromDuration(logPollInterval))
-		if err != nil {
-			if reachable && ctx.Err() == nil {
-				a.o.Logger.Log(event.LogUnreachable, "error", err)
-			}
-			reachable = false
-			sleep(ctx, logPollInterval)
-			continue
-		}
-		if !reachable {
-			a.o.Logger.Log(event.LogReachable)
-		}
-		reachable = true
-		next = max(next, page.First)
-		for _, r := range page.Records {
-			a.apply(r)
-			next = r.Offset + 1
-		}
-	}
-}
-
-func (a *Agent) apply(r laburnumring.Record) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	live, err := a.config.Apply(r.Offset, r.Data)
-	if err != nil {
-		a.o.Logger.Log(event.ConfigurationBad, "error", err)
-		return
-	}
-	if live {
-		a.o.Logger.Log(event.ConfigurationLive, "version", a.board.Version())
-	}
-}
-
-// every calls f at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Handler returns the agent's HTTP interface.
 func (a *Agent) Handler() http.Handler {
 	return a.routes()
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 )
@@ -52,7 +53,7 @@
 		if time.Since(start) > healthyPeriod {
 			delay = minRedial
 		}
-		sleep(ctx, delay/2+rand.N(delay/2))
+		interval.Sleep(ctx, delay/2+rand.N(delay/2))
 		delay = min(2*delay, maxRedial)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,8 @@
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/follower"
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/membership"
 	"github.com/laburnumring/laburnumring/internal/placement"
 	"github.com/laburnumring/laburnumring/internal/traffic"
@@ -44,9 +46,8 @@
 
 // Intervals of the router's loops.
 const (
-	tickInterval    = 10 * time.Millisecond
-	logPollInterval = 1 * time.Second
-	vmPollInterval  = 1 * time.Second
+	tickInterval   = 10 * time.Millisecond
+	vmPollInterval = 1 * time.Second
 )
 
 // ticketsPerRequest is with how many agents a request's tickets are left at first.
@@ -59,6 +60,8 @@
 	counter *traffic.Counter
 	metrics *metrics
 	data    *http.Client
+	// follower keeps config up to date.
+	follower *follower.Follower
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -103,6 +106,9 @@
 	}
 	r.counter.Register(r.metrics.registry, "peer")
 	o.LogTraffic.Register(r.metrics.registry, "platform")
+	r.follower = follower.New(follower.Options{
+		Log: o.Log, Logger: o.Logger, Mu: &r.mu, Config: r.config, Live: r.configured,
+	})
 	return r
 }
 
@@ -113,7 +119,7 @@
 	r.linkContext = loops
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.logLoop, r.vmLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.follower.Run, r.vmLoop} {
 		wg.Go(func() { loop(loops) })
 	}
 	r.o.Logger.Log(event.Started, "router", r.id)
@@ -155,7 +161,7 @@
 }
 
 func (r *Router) tickLoop(ctx context.Context) {
-	every(ctx, tickInterval, func() {
+	interval.Every(ctx, tickInterval, func() {
 		now := r.o.Clock.Now()
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -163,45 +169,6 @@
 	})
 }
 
-func (r *Router) logLoop(ctx context.Context) {
-	var next int64
-	reachable := true
-	for ctx.Err() == nil {
-		page, err := r.o.Log.Read(ctx, configuration.Stream, next, clock.FromDuration(logPollInterval))
-		if err != nil {
-			if reachable && ctx.Err() == nil {
-				r.o.Logger.Log(event.LogUnreachable, "error", err)
-			}
-			reachable = false
-			sleep(ctx, logPollInterval)
-			continue
-		}
-		if !reachable {
-			r.o.Logger.Log(event.LogReachable)
-		}
-		reachable = true
-		next = max(next, page.First)
-		for _, rec := range page.Records {
-			r.apply(rec)
-			next = rec.Offset + 1
-		}
-	}
-}
-
-func (r *Router) apply(rec laburnumring.Record) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	live, err := r.config.Apply(rec.Offset, rec.Data)
-	if err != nil {
-		r.o.Logger.Log(event.ConfigurationBad, "error", err)
-		return
-	}
-	if live {
-		r.o.Logger.Log(event.ConfigurationLive, "version", r.board.Version())
-		r.configured()
-	}
-}
-
 // configured opens and closes links as the configuration in force says; callers hold mu.
 func (r *Router) configured() {
 	added, removed := r.membership.Configured()
@@ -221,7 +188,7 @@
 }
 
 func (r *Router) vmLoop(ctx context.Context) {
-	every(ctx, vmPollInterval, func() {
+	interval.Every(ctx, vmPollInterval, func() {
 		vms, err := r.o.VMs.VMs(ctx)
 		if err != nil {
 			return
@@ -240,26 +207,3 @@
 func (r *Router) withdrawFrom(now clock.Millis, name string) []dispatch.Action {
 	return r.dispatch.AgentLost(now, name)
 }
-
-// every calls f at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
