subset: Connect each router to a subset of the agents

Cause: every router kept a link to every agent; at 166 bytes/s for each idle link, 760 links would cost 126 KB/s of the 27 that a node may spend.

Ruled out: an index for each router, by which subsets could be made exactly even: routers come and go and have no agreed numbers. A fixed degree alone: few routers would leave agents without work.

Change: each router ranks a service's agents (own place, own region, then rendezvous hash), keeps links to the first 16 that take work, doubles the reach while a request waits 100 ms and halves it after a quiet minute. A call for offers waits 1 s in place of 0.5.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,7 +57,7 @@
 	// sessionLife is how long a router may be silent before its tickets are dropped.
 	sessionLife = 2 * clock.Second
 	// offersWait is the longest that a call for offers waits.
-	offersWait = 500 * time.Millisecond
+	offersWait = 1 * time.Second
 	// keepRuns is how long a finished answer can be fetched again.
 	keepRuns = 30 * clock.Second
 )
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -26,6 +26,8 @@
 		bytes := &traffic.Counter{}
 		r := router.New(router.Options{
 			Name:          s.Name,
+			Place:         s.Place,
+			SubsetDegree:  s.SubsetDegree,
 			Incarnation:   router.NewIncarnation(),
 			Clock:         wallclock.New(),
 			Log:           platform.NewLog(s.Log, bytes),
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // insertByArrival keeps q sorted by arrival, oldest first.
@@ -56,3 +58,14 @@
 func (c *Controller) ids() []string {
 	return slices.Sorted(maps.Keys(c.requests))
 }
+
+// OldestWait returns how long the oldest waiting request of a service has waited; 0 when none waits.
+func (c *Controller) OldestWait(now clock.Millis, service string) clock.Millis {
+	oldest := clock.Millis(0)
+	for g, q := range c.queues {
+		if g.service == service {
+			oldest = max(oldest, now-q[0].arrived)
+		}
+	}
+	return oldest
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,15 +18,20 @@
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/membership"
 	"github.com/laburnumring/laburnumring/internal/placement"
+	"github.com/laburnumring/laburnumring/internal/subset"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // Options are what a Router is built from.
 type Options struct {
-	// Name is the router's name and Incarnation unique to this run of the process.
+	// Name is the router's name, Place the name of the place where it stands and Incarnation unique to this
+	// run of the process.
 	Name        string
+	Place       string
 	Incarnation string
+	// SubsetDegree is to how many agents of each service the router keeps connections; 0 for the default.
+	SubsetDegree int
 	// Clock tells the time.
 	Clock laburnumring.Clock
 	// Log is the platform's log and VMs its VM list.
@@ -69,6 +74,7 @@
 	config     *configuration.Controller
 	membership *membership.Controller
 	dispatch   *dispatch.Controller
+	subset     *subset.Controller
 	// links holds the connection to each configured agent, by server name.
 	links map[string]*link
 	// calls holds the callers that wait, by request id.
@@ -101,8 +107,9 @@
 			Board:     b,
 			Placement: placement.NewSample(o.Rand, ticketsPerRequest),
 		}),
-		links: make(map[string]*link),
-		calls: make(map[string]*call),
+		subset: subset.New(subset.Options{Board: b, Router: o.Name, Place: o.Place, Degree: o.SubsetDegree}),
+		links:  make(map[string]*link),
+		calls:  make(map[string]*call),
 	}
 	r.counter.Register(r.metrics.registry, "peer")
 	o.LogTraffic.Register(r.metrics.registry, "platform")
@@ -119,7 +126,7 @@
 	r.linkContext = loops
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.follower.Run, r.vmLoop} {
+	for _, loop := range []func(context.Context){r.tickLoop, r.subsetLoop, r.follower.Run, r.vmLoop} {
 		wg.Go(func() { loop(loops) })
 	}
 	r.o.Logger.Log(event.Started, "router", r.id)
@@ -171,20 +178,12 @@
 
 // configured opens and closes links as the configuration in force says; callers hold mu.
 func (r *Router) configured() {
-	added, removed := r.membership.Configured()
+	_, removed := r.membership.Configured()
 	now := r.o.Clock.Now()
 	for _, name := range removed {
-		r.links[name].stop()
-		delete(r.links, name)
-		r.do(r.dispatch.AgentLost(now, name))
-	}
-	for _, s := range added {
-		l := newLink(r, s.Name(), s.Agent())
-		r.links[s.Name()] = l
-		ctx, cancel := context.WithCancel(r.linkContext)
-		l.stop = cancel
-		r.background.Go(func() { l.run(ctx) })
+		r.closeLink(now, name)
 	}
+	r.relink(now)
 }
 
 func (r *Router) vmLoop(ctx context.Context) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	defaultShutdownLimit = 10 * clock.Minute
 	maxShutdownLimit     = 24 * 60 * clock.Minute
 	maxSlots             = 4096
+	maxSubsetDegree      = 4096
 )
 
 // Router holds the settings of a router.
@@ -30,6 +31,9 @@
 	// Log and VMs are the IP addresses and ports of the platform's log and VM list.
 	Log string `yaml:"log"`
 	VMs string `yaml:"vms"`
+	// SubsetDegree is to how many agents of each service the router keeps connections while nothing waits
+	// long; 16 when zero.
+	SubsetDegree int `yaml:"subset_degree"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -71,6 +75,9 @@
 	c.address("listen", r.Listen)
 	c.address("log", r.Log)
 	c.address("vms", r.VMs)
+	if r.SubsetDegree < 0 || r.SubsetDegree > maxSubsetDegree {
+		c.fail("subset_degree", strconv.Itoa(r.SubsetDegree), "a whole number from 0 to "+strconv.Itoa(maxSubsetDegree))
+	}
 	c.format(r.LogFormat)
 	c.limit(&r.ShutdownLimitMs)
 	return r, c.result()
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -76,6 +76,7 @@
 		{name: "servers_idle", sizes: []float64{4, 16, 48}, shape: func(x float64) (fleet.Options, drive) {
 			o, d := base()
 			o.Models = int(x)
+			o.RouterSettings = "subset_degree: 100\n"
 			return o, d
 		}},
 		{name: "routers_idle", sizes: []float64{1, 6, 18}, shape: func(x float64) (fleet.Options, drive) {
