--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,11 @@
 	bin/laburnumring config check out/dunajlab.yaml
 	go run ./examples/docelar >out/docelar.yaml
 	bin/laburnumring config check out/docelar.yaml
+
+.PHONY: bench slopes
+
+bench: build
+	bin/bench
+
+slopes: build
+	bin/slopes
--- a/internal/standin/commands/commands.go
+++ b/internal/standin/commands/commands.go
@@ -123,7 +123,7 @@
 		if err := json.NewEncoder(stdout).Encode(s); err != nil {
 			return err
 		}
-		if s.WrongAnswers > 0 || s.RanTwice > 0 {
+		if s.WrongAnswers > 0 || s.RanTwice > 0 || s.RanAfterNotRun > 0 {
 			return errWrong
 		}
 		return nil
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -9,8 +9,10 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -53,6 +55,8 @@
 	WrongAnswers int `json:"wrong_answers"`
 	// RanTwice counts bookings that ran more than once.
 	RanTwice int `json:"ran_twice"`
+	// RanAfterNotRun counts bookings that ran although every answer to them said that they did not.
+	RanAfterNotRun int `json:"ran_after_not_run"`
 	// Resent counts bookings sent a second time under the same key.
 	Resent int `json:"resent"`
 }
@@ -62,8 +66,13 @@
 	o  Options
 	hc *http.Client
 
+	// sent counts the requests that were handed to a connection.
+	sent atomic.Int64
+
 	mu      sync.Mutex
 	summary Summary
+	// ended holds how each booking's calls ended, by body.
+	ended map[string][]outcome.Outcome
 }
 
 const timeout = 2 * time.Minute
@@ -71,11 +80,15 @@
 // New returns a load.
 func New(o Options) *Load {
 	return &Load{
-		o:  o,
-		hc: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: o.Concurrency}},
+		o:     o,
+		ended: make(map[string][]outcome.Outcome),
+		hc:    &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: o.Concurrency}},
 	}
 }
 
+// Sent returns how many requests were handed to a connection so far.
+func (l *Load) Sent() int64 { return l.sent.Load() }
+
 // Run sends all requests and returns the counts.
 func (l *Load) Run(ctx context.Context) (Summary, error) {
 	jobs := make(chan int)
@@ -144,8 +157,12 @@
 	if key != "" {
 		req.Header.Set(header.IdempotencyKey, key)
 	}
+	l.sent.Add(1)
 	got, o := l.receive(req)
 	l.count(o, got, want)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended[body] = append(l.ended[body], o)
 }
 
 // receive sends a request and returns the answer and how the caller understands its end.
@@ -202,14 +219,23 @@
 			total[body] += n
 		}
 	}
-	for _, n := range total {
+	for body, n := range total {
 		if n > 1 {
 			l.summary.RanTwice++
 		}
+		if n > 0 && l.allNotRun(body) {
+			l.summary.RanAfterNotRun++
+		}
 	}
 	return errors.Join(errs...)
 }
 
+// allNotRun reports whether every call of a booking was said not to have run.
+func (l *Load) allNotRun(body string) bool {
+	ended := l.ended[body]
+	return len(ended) > 0 && !slices.ContainsFunc(ended, func(o outcome.Outcome) bool { return o != outcome.NotRun })
+}
+
 func (l *Load) runs(ctx context.Context, address string) (map[string]int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", http.NoBody)
 	if err != nil {
