capacity: Work out the size to design for from slopes

Cause: docs/CAPACITY.md must rest on slopes that anyone can measure again.

The router ticks once a second while it holds no request.

Ruled out: a hand-written table, which nobody could check.

--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -91,6 +91,12 @@
 		return notRun(refused.Reason, refused)
 	}
 	r.do(actions)
+	if r.dispatch.Len() == 1 {
+		select {
+		case r.busy <- struct{}{}:
+		default:
+		}
+	}
 	return dispatch.Finish{}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -53,6 +53,8 @@
 const (
 	tickInterval   = 25 * time.Millisecond
 	vmPollInterval = 1 * time.Second
+	// idleTickInterval is the time between ticks while there is no request.
+	idleTickInterval = 1 * time.Second
 )
 
 // ticketsPerRequest is with how many agents a request's tickets are left at first.
@@ -65,6 +67,8 @@
 	counter *traffic.Counter
 	metrics *metrics
 	data    *http.Client
+	// busy has room for one signal that the first request has come.
+	busy chan struct{}
 	// follower keeps config up to date.
 	follower *follower.Follower
 
@@ -100,6 +104,7 @@
 		counter:    &traffic.Counter{},
 		metrics:    newMetrics(),
 		data:       newDataClient(o.TLS),
+		busy:       make(chan struct{}, 1),
 		board:      b,
 		config:     configuration.New(b),
 		membership: membership.New(b),
@@ -167,13 +172,30 @@
 	return !r.stopping && r.board.Site() != nil
 }
 
+// tickLoop lets time pass for the requests: often while there are any, seldom while there are none.
 func (r *Router) tickLoop(ctx context.Context) {
-	interval.Every(ctx, tickInterval, func() {
-		now := r.o.Clock.Now()
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.do(r.dispatch.Tick(now))
-	})
+	for ctx.Err() == nil {
+		pause := r.tick()
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-r.busy:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// tick lets time pass and returns how long the next tick may wait.
+func (r *Router) tick() time.Duration {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.do(r.dispatch.Tick(now))
+	if r.dispatch.Len() == 0 {
+		return idleTickInterval
+	}
+	return tickInterval
 }
 
 // configured opens and closes links as the configuration in force says; callers hold mu.
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -41,6 +41,11 @@
 	sizes []float64
 	// shape returns the fleet and the load for a size.
 	shape func(x float64) (fleet.Options, drive)
+	// works names the service whose agents share the load; empty when no load is grown. An agent's size is
+	// then its part of the load.
+	works string
+	// perPeriod says that a size is a number of events in the period, which becomes a rate.
+	perPeriod bool
 	// during is called once while the fleet is measured; nil for nothing.
 	during func(ctx context.Context, f *fleet.Fleet, x float64) error
 }
@@ -90,28 +95,28 @@
 			d.rate, d.tokens = baseRate, baseTokens
 			return o, d
 		}},
-		{name: "plain_requests_per_s", sizes: []float64{10, 40, 160}, shape: func(x float64) (fleet.Options, drive) {
+		{name: "plain_requests_per_s", works: fleet.PlainService, sizes: []float64{10, 40, 160}, shape: func(x float64) (fleet.Options, drive) {
 			o, d := base()
 			d.rate = x
 			return o, d
 		}},
-		{name: "keyed_requests_per_s", sizes: []float64{5, 20, 60}, shape: func(x float64) (fleet.Options, drive) {
+		{name: "keyed_requests_per_s", works: fleet.PlainService, sizes: []float64{5, 20, 60}, shape: func(x float64) (fleet.Options, drive) {
 			o, d := base()
 			d.rate, d.keyed = x, true
 			return o, d
 		}},
-		{name: "tokens_per_s", sizes: []float64{320, 1280, 5120}, shape: func(x float64) (fleet.Options, drive) {
+		{name: "tokens_per_s", works: fleet.ModelService, sizes: []float64{320, 1280, 5120}, shape: func(x float64) (fleet.Options, drive) {
 			o, d := base()
 			d.rate, d.tokens = baseRate, int(x/baseRate)
 			return o, d
 		}},
-		{name: "waiting_requests", sizes: []float64{20, 200, 800}, shape: func(x float64) (fleet.Options, drive) {
+		{name: "waiting_requests", works: fleet.ModelService, sizes: []float64{20, 200, 800}, shape: func(x float64) (fleet.Options, drive) {
 			o, d := base()
 			o.Models, o.Slots, o.StepMs = 1, 1, 1000
 			d.rate, d.tokens = x/4, 100
 			return o, d
 		}},
-		{name: "configuration_changes", sizes: []float64{0, 2, 4}, shape: func(float64) (fleet.Options, drive) {
+		{name: "configuration_changes_per_s", perPeriod: true, sizes: []float64{0, 2, 4}, shape: func(float64) (fleet.Options, drive) {
 			return base()
 		}, during: publishLarge},
 	}
@@ -144,7 +149,7 @@
 				points[role] = make(map[string][]Point)
 			}
 			for _, c := range costs() {
-				points[role][c.name] = append(points[role][c.name], Point{X: x, Y: c.of(r)})
+				points[role][c.name] = append(points[role][c.name], Point{X: a.sizeOf(o, role, x), Y: c.of(r)})
 			}
 		}
 	}
@@ -159,6 +164,21 @@
 	return nil
 }
 
+// sizeOf returns what one process of a role carries of size x.
+func (a axis) sizeOf(o Options, role string, x float64) float64 {
+	if a.perPeriod {
+		x /= o.Period.Seconds()
+	}
+	if a.works == "" || role == "router" {
+		return x
+	}
+	f, _ := a.shape(x)
+	if a.works == fleet.PlainService {
+		return x / float64(f.Plains)
+	}
+	return x / float64(f.Models)
+}
+
 // measureSize runs one fleet and returns the mean rates of each role.
 func measureSize(ctx context.Context, o Options, a axis, x float64) (map[string]rates, error) {
 	fo, d := a.shape(x)
@@ -185,7 +205,7 @@
 }
 
 func measurePeriod(ctx context.Context, o Options, a axis, x float64, f *fleet.Fleet) (map[string]rates, error) {
-	targets := targetsOf(f)
+	targets := targetsOf(f, a.works)
 	start := time.Now()
 	before, err := sampleAll(ctx, targets)
 	if err != nil {
@@ -213,9 +233,8 @@
 	return out, nil
 }
 
-// targetsOf lists the routers, and the agents that work in the axis: those of the model service, or that of
-// the plain one.
-func targetsOf(f *fleet.Fleet) map[string][]target {
+// targetsOf lists the routers and the agents of the service that works, or of all when it is empty.
+func targetsOf(f *fleet.Fleet, works string) map[string][]target {
 	out := make(map[string][]target)
 	for i, address := range f.Routers() {
 		out["router"] = append(out["router"], target{
@@ -224,6 +243,9 @@
 		})
 	}
 	for _, s := range f.Site().Servers() {
+		if works != "" && s.Service() != works {
+			continue
+		}
 		out["agent"] = append(out["agent"], target{
 			process: f.Process(s.Name() + "-agent"),
 			metrics: "http://" + s.Agent() + "/metrics",
