claim: Run an idempotency key at most once by claims on the log

Cause: a keyed request sent through two routers ran on two servers; routers share no memory and agents keep none over a restart.

Change: the agent of an accepted offer appends a claim in a batch, reads the stream, and takes the atomic step to started only as the holder. Lost replies are settled by appending the same entry again until it is read back; claims given up are released and never start. Keyed tickets are passed over until the stream was read to its end, without holding up others; with the log down they are refused as not run at once. Keys older than the window are refused.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -106,6 +106,8 @@
 	draining bool
 	// serverDown means that the backend server does not answer.
 	serverDown bool
+	// keyedHeld means that keyed tickets are passed over.
+	keyedHeld bool
 	// count numbers the offers.
 	count int64
 }
@@ -313,13 +315,15 @@
 		return nil
 	}
 	i := c.o.Order.Next(now, candidates)
-	return c.queues[candidates[i].Team][0]
+	return c.first(c.queues[candidates[i].Team])
 }
 
 func (c *Controller) candidates() []laburnumring.Candidate {
 	out := make([]laburnumring.Candidate, 0, len(c.queues))
 	for name, q := range c.queues {
-		out = append(out, laburnumring.Candidate{Team: name, Since: q[0].since})
+		if w := c.first(q); w != nil {
+			out = append(out, laburnumring.Candidate{Team: name, Since: w.since})
+		}
 	}
 	slices.SortFunc(out, func(a, b laburnumring.Candidate) int {
 		if a.Team < b.Team {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,8 @@
 	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
+	// LogRetention is the least time that the platform's log keeps records; an hour when zero.
+	LogRetention clock.Millis
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 }
@@ -82,6 +84,8 @@
 	sessions  map[string]*session
 	// started holds runs by offer, from start until keepRuns after their end.
 	started map[string]*startedRun
+	// claims holds what keyed requests need.
+	claims *claims
 	// serverUp is what the last probe said.
 	serverUp bool
 }
@@ -113,6 +117,7 @@
 		config:   configuration.New(b),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
+		claims:   newClaims(o),
 	}
 	a.admission = admission.New(admission.Options{
 		Incarnation: o.Incarnation,
@@ -135,12 +140,13 @@
 func (a *Agent) Run(ctx context.Context) error {
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run} {
+	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run, a.claimAppendLoop, a.claimReadLoop} {
 		wg.Go(func() { loop(loops) })
 	}
 	a.o.Logger.Log(event.Started, "server", a.o.Server.Name(), "incarnation", a.o.Incarnation)
 	<-ctx.Done()
 	a.shutdown()
+	a.settleClaims()
 	cancel()
 	wg.Wait()
 	return nil
@@ -213,6 +219,7 @@
 		a.tickRun(now, id, s)
 	}
 	a.admission.Tick(now)
+	a.tickClaims(now)
 	a.fill(now)
 }
 
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -40,9 +40,9 @@
 		return
 	}
 	out := answer.NewWriter(w, m.Start.Request, m.Start.Attempt, m.Start.ResumeFrom)
-	s, err := a.start(m)
+	s, err := a.begin(r.Context(), m)
 	if err != nil {
-		_ = out.End(refusal(err))
+		_ = out.End(startRefusal(m, err))
 		return
 	}
 	a.deliver(w, r, out, s)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -48,6 +48,9 @@
 	s.endedAt = now
 	a.admission.End(now, m.Start.Offer, s.run.Units())
 	a.metrics.ended(a.o.Server.Service(), m.Start.Team, end.Outcome, s.run.Units())
+	if end.Outcome == outcome.NotRun {
+		a.releaseClaim(m)
+	}
 	if end.Reason == reasonServerDied {
 		a.o.Logger.Log(event.ServerDied, "request", m.Start.Request, "error", err)
 	}
--- a/internal/answer/frame.go
+++ b/internal/answer/frame.go
@@ -32,6 +32,8 @@
 	Digest uint64 `cbor:"digest"`
 	// Cost is what the attempt was charged, in service units.
 	Cost int64 `cbor:"cost"`
+	// Final says that another attempt cannot help.
+	Final bool `cbor:"final,omitempty"`
 	// RetryAfter is when to come back after an outcome that is not whole.
 	RetryAfter clock.Millis `cbor:"retry_after_ms,omitempty"`
 }
--- /dev/null
+++ b/internal/claim/claim_test.go
@@ -0,0 +1,170 @@
+package claim_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/laburnumring/laburnumring/internal/claim"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// TestClaims runs the tables of testdata/claims over controllers that share one log.
+func TestClaims(t *testing.T) {
+	datadriven.Walk(t, "testdata/claims", func(t *testing.T, path string) {
+		w := &world{now: 10_000, log: &fakeLog{}, agents: make(map[string]*agent), held: make(map[string][]byte)}
+		datadriven.RunTest(t, path, w.run)
+	})
+}
+
+// world is the state of one table.
+type world struct {
+	now    clock.Millis
+	log    *fakeLog
+	agents map[string]*agent
+	// held holds appends that are under way, by name.
+	held map[string][]byte
+	out  strings.Builder
+}
+
+func (w *world) run(t *testing.T, d *datadriven.TestData) string {
+	w.out.Reset()
+	var name string
+	d.MaybeScanArgs(t, "agent", &name)
+	a := w.agents[name]
+	switch d.Cmd {
+	case "start":
+		var ahead int64
+		d.MaybeScanArgs(t, "ahead", &ahead)
+		w.agents[name] = newAgent(name, clock.Millis(ahead))
+	case "request":
+		w.request(t, d, a)
+	case "append":
+		w.append(t, d, a)
+	case "land":
+		w.log.land(w.now, w.held[d.CmdArgs[0].Key])
+	case "drop":
+		w.log.drop()
+	case "junk":
+		w.log.land(w.now, []byte(d.Input))
+	case "fetch":
+		p := w.log.page(w.now, a.c.Next())
+		a.fetched = &p
+	case "read":
+		w.read(a)
+	case "outage":
+		a.c.Unreachable()
+	case "release":
+		var id string
+		d.ScanArgs(t, "id", &id)
+		a.c.Release(a.asked[id])
+	case "tick":
+		w.decide(a.c.Tick(w.now + a.clock))
+	case "pass":
+		var ms int64
+		d.ScanArgs(t, "ms", &ms)
+		w.now += clock.Millis(ms)
+	case "configure":
+		var ms int64
+		d.ScanArgs(t, "window", &ms)
+		w.printf("covered=%v", a.c.Configure(clock.Millis(ms)))
+	case "state":
+		w.printf("state=%d pending=%d unsettled=%d keys=%d", a.c.State(), a.c.Pending(), a.c.Unsettled(), a.c.Keys())
+	default:
+		d.Fatalf(t, "unknown command %q", d.Cmd)
+	}
+	if w.out.Len() == 0 {
+		return "ok"
+	}
+	return w.out.String()
+}
+
+func (w *world) printf(format string, args ...any) { fmt.Fprintf(&w.out, format+"\n", args...) }
+
+func (w *world) request(t *testing.T, d *datadriven.TestData, a *agent) {
+	e := claim.Entry{Attempt: 1, KeyTime: w.now}
+	var made, fingerprint int64
+	d.ScanArgs(t, "id", &e.ID)
+	d.ScanArgs(t, "key", &e.Key)
+	e.Request = e.ID
+	d.MaybeScanArgs(t, "request", &e.Request)
+	d.MaybeScanArgs(t, "attempt", &e.Attempt)
+	if d.MaybeScanArgs(t, "made", &made) {
+		e.KeyTime = clock.Millis(made)
+	}
+	d.MaybeScanArgs(t, "content", &fingerprint)
+	e.Fingerprint = uint64(fingerprint)
+	if err := a.c.Request(w.now+a.clock, e); err != nil {
+		w.decide([]claim.Decision{{ID: e.ID, Err: err}})
+		return
+	}
+	a.asked[e.ID] = e
+}
+
+// flushStep passes before each append, so that the time between two appends does not hold it up.
+const flushStep = 5
+
+// append takes the agent's next batch. Its result may be lost, refused, held (as=name) or doubled.
+func (w *world) append(t *testing.T, d *datadriven.TestData, a *agent) {
+	w.now += flushStep
+	data, ok := a.c.Batch(w.now + a.clock)
+	if !ok {
+		w.printf("nothing")
+		return
+	}
+	for _, e := range entries(data) {
+		w.printf("%s %s", e.Kind, e.ID)
+	}
+	as := "as"
+	switch {
+	case d.HasArg("lost"):
+		w.log.land(w.now, data)
+		a.c.Appended(w.now+a.clock, false)
+	case d.HasArg("refused"):
+		a.c.Appended(w.now+a.clock, false)
+	case d.MaybeScanArgs(t, "as", &as):
+		w.held[as] = data
+		a.c.Appended(w.now+a.clock, false)
+	case d.HasArg("doubled"):
+		w.log.land(w.now, data)
+		w.log.land(w.now, data)
+		a.c.Appended(w.now+a.clock, true)
+	default:
+		w.log.land(w.now, data)
+		a.c.Appended(w.now+a.clock, true)
+	}
+}
+
+// read applies the page that was fetched before, or reads one now.
+func (w *world) read(a *agent) {
+	p := w.log.page(w.now, a.c.Next())
+	if a.fetched != nil {
+		p = *a.fetched
+		a.fetched = nil
+	}
+	u := a.c.Page(w.now+a.clock, p)
+	for _, err := range u.Bad {
+		w.printf("bad: %v", err)
+	}
+	if u.Gap {
+		w.printf("gap")
+	}
+	if u.RetentionShort {
+		w.printf("retention short")
+	}
+	w.decide(u.Decisions)
+}
+
+func (w *world) decide(ds []claim.Decision) {
+	for _, d := range ds {
+		var refused *claim.RefusedError
+		if errors.As(d.Err, &refused) {
+			w.printf("%s refused: %s never_started=%v", d.ID, refused.Reason, refused.NeverStarted())
+			continue
+		}
+		w.printf("%s may start", d.ID)
+	}
+}
--- /dev/null
+++ b/internal/claim/fake_test.go
@@ -0,0 +1,75 @@
+package claim_test
+
+import (
+	"encoding/json"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/claim"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Settings of every controller under test, small so that time runs out within a test.
+const (
+	testWindow    = 500
+	testSkew      = 20
+	testMaxAge    = 100
+	testRetention = 1000
+	testFlush     = 1
+)
+
+// fakeLog is a stream that keeps records for testRetention.
+type fakeLog struct {
+	first   int64
+	records [][]byte
+	at      []clock.Millis
+}
+
+func (l *fakeLog) land(now clock.Millis, data []byte) {
+	l.records = append(l.records, data)
+	l.at = append(l.at, now)
+}
+
+func (l *fakeLog) page(now clock.Millis, from int64) laburnumring.Page {
+	for len(l.at) > 0 && l.at[0] < now-testRetention {
+		l.drop()
+	}
+	p := laburnumring.Page{First: l.first, Next: l.first + int64(len(l.records))}
+	for i := max(0, from-l.first); i < int64(len(l.records)); i++ {
+		p.Records = append(p.Records, laburnumring.Record{Offset: l.first + i, Data: l.records[i]})
+	}
+	return p
+}
+
+// drop takes the oldest record away.
+func (l *fakeLog) drop() {
+	l.first, l.records, l.at = l.first+1, l.records[1:], l.at[1:]
+}
+
+// agent is a controller with the names that its process would keep.
+type agent struct {
+	c *claim.Controller
+	// clock is added to the test's time.
+	clock clock.Millis
+	// asked holds the claims without a decision, by id.
+	asked map[string]claim.Entry
+	// fetched is a page that was read and not applied.
+	fetched *laburnumring.Page
+}
+
+func newAgent(name string, ahead clock.Millis) *agent {
+	a := &agent{clock: ahead, asked: make(map[string]claim.Entry)}
+	a.c = claim.New(claim.Options{
+		Agent: name, Retention: testRetention, Skew: testSkew, MaxAge: testMaxAge, MinFlush: testFlush,
+		AppendsPerSecond: 1000,
+	})
+	a.c.Configure(testWindow)
+	return a
+}
+
+func entries(data []byte) []claim.Entry {
+	var r claim.Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		panic(err)
+	}
+	return r.Entries
+}
--- /dev/null
+++ b/internal/claim/record.go
@@ -0,0 +1,90 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Stream returns the name of the log stream that holds a service's claims.
+func Stream(service string) string { return "claims." + service }
+
+// digestBytes is how much of a key's SHA-256 digest names it in records.
+const digestBytes = 16
+
+// Digest returns the name of a key in records. Its length does not depend on the key's.
+func Digest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return base64.RawURLEncoding.EncodeToString(sum[:digestBytes])
+}
+
+// Kind says what an entry does.
+type Kind string
+
+// The kinds of entry.
+const (
+	// KindClaim asks for the right to run a key.
+	KindClaim Kind = "claim"
+	// KindRelease ends a claim whose request has not started and never will under it.
+	KindRelease Kind = "release"
+)
+
+// Entry is one claim or release.
+type Entry struct {
+	// Kind is one of the constants.
+	Kind Kind `json:"kind"`
+	// ID is unique in the fleet and over time; a doubled append carries it twice and a release names it.
+	ID string `json:"id"`
+	// Key is the key's digest.
+	Key string `json:"key"`
+	// KeyTime is when the caller made the key, in Unix milliseconds.
+	KeyTime clock.Millis `json:"key_time_ms"`
+	// Request and Attempt name the attempt that the claim is for; a release leaves them out.
+	Request string `json:"request,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
+	// Fingerprint identifies the request's content over all its copies.
+	Fingerprint uint64 `json:"fingerprint,string,omitempty"`
+}
+
+// Record is one append: a batch of entries of one agent.
+type Record struct {
+	// Agent is the agent's incarnation.
+	Agent string `json:"agent"`
+	// At is when the batch was made by the agent's clock, in Unix milliseconds.
+	At clock.Millis `json:"at_ms"`
+	// Entries count in their order.
+	Entries []Entry `json:"entries"`
+}
+
+// BadRecordError reports a record that every reader ignores.
+type BadRecordError struct {
+	// Offset is the record's place in the stream.
+	Offset int64
+	// Problem says what is wrong.
+	Problem string
+}
+
+// Error implements error.
+func (e *BadRecordError) Error() string {
+	return fmt.Sprintf("claim record at offset %d: %s", e.Offset, e.Problem)
+}
+
+// decode reads a record. Its errors are of type *BadRecordError.
+func decode(offset int64, data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, &BadRecordError{Offset: offset, Problem: err.Error()}
+	}
+	for _, e := range r.Entries {
+		if e.ID == "" || e.Key == "" {
+			return Record{}, &BadRecordError{Offset: offset, Problem: "entry without id or key"}
+		}
+		if e.Kind != KindClaim && e.Kind != KindRelease {
+			return Record{}, &BadRecordError{Offset: offset, Problem: fmt.Sprintf("kind %q", e.Kind)}
+		}
+	}
+	return r, nil
+}
--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -39,6 +39,7 @@
 			Backend:       newBackend(s),
 			LogTraffic:    bytes,
 			Logger:        event.NewLogger(env.stderr, s.LogFormat, "agent"),
+			LogRetention:  s.LogRetentionMs,
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
 		})
 		if err != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,12 @@
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
+	ClaimsCurrent       = Event{7001, log.InfoLevel, "idempotency keys current"}
+	ClaimLogUnavailable = Event{7002, log.WarnLevel, "claim log unavailable"}
+	ClaimsLoading       = Event{7003, log.InfoLevel, "idempotency keys loading"}
+	ClaimRecordBad      = Event{7004, log.WarnLevel, "claim record ignored"}
+	ClaimGap            = Event{7005, log.WarnLevel, "claim records missed"}
+	ClaimRetentionShort = Event{7006, log.WarnLevel, "log retention shorter than key window"}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -36,5 +42,6 @@
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ConnectionUntrusted,
+		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
 	}
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -167,6 +167,7 @@
 	return dispatch.Result{
 		Outcome:    end.Outcome,
 		Reason:     end.Reason,
+		Final:      end.Final,
 		ServerDied: end.Reason == "server_died",
 		RetryAfter: end.RetryAfter,
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	maxShutdownLimit     = 24 * 60 * clock.Minute
 	maxSlots             = 4096
 	maxSubsetDegree      = 4096
+	defaultLogRetention  = 60 * clock.Minute
 )
 
 // Router holds the settings of a router.
@@ -57,6 +58,8 @@
 	Listen string `yaml:"listen"`
 	// Log is the IP address and port of the platform's log.
 	Log string `yaml:"log"`
+	// LogRetentionMs is the least time that the log keeps records; an hour when zero.
+	LogRetentionMs clock.Millis `yaml:"log_retention_ms"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -102,6 +105,7 @@
 	}
 	c.address("listen", a.Listen)
 	c.address("log", a.Log)
+	c.retention(&a.LogRetentionMs)
 	c.format(a.LogFormat)
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
@@ -159,6 +163,15 @@
 	}
 }
 
+func (c *checker) retention(m *clock.Millis) {
+	if *m == 0 {
+		*m = defaultLogRetention
+	}
+	if *m < 0 {
+		c.fail("log_retention_ms", strconv.FormatInt(int64(*m), 10), "a positive whole number")
+	}
+}
+
 func (c *checker) limit(m *clock.Millis) {
 	if *m == 0 {
 		*m = defaultShutdownLimit
