dispatch: Renew lost tickets and bound refused attempts

Cause: a randomised run that joins dispatch and admission through a lossy network found requests that wait for ever. A ticket that an agent refuses (queue full) or loses (offer expired unseen, withdrawal overtaking a renewed ticket) left its request without any ticket until the agent fell idle, which never comes under load. Attempts that agents refused were tried again at once and without limit.

Ruled out: idle agents asking for work heals this only without a backlog; acknowledging every ticket costs a message each.

Change: waiting requests' tickets are left again after 1 s, doubling to 8 s; a refused ticket or attempt is left again after a pause of 10 ms doubling to 1 s, and after 16 attempts that did not start the request is refused. An agent ignores a ticket whose offer is out, and a withdrawal takes back an offer that the router has not accepted, as its comment said. Retries count only what was taken from a budget.

Conclusion: soft state needs renewal.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.12.0
 GOLANGCI := .tools/golangci-lint
 
-.PHONY: build demo check format lint test examples fmt
+.PHONY: build demo check format lint test examples fmt soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -27,6 +27,14 @@
 test:
 	scripts/test.sh
 
+SEEDS ?= 200
+SEED_START ?= 1
+
+# Runs the controllers through many seeds; the last line counts what happened.
+soak:
+	go test -c -o bin/soak.test ./internal/soak
+	bin/soak.test -test.run '^TestSeeds$$' -test.timeout 0 -seeds $(SEEDS) -seed-start $(SEED_START)
+
 # Each example's output must be accepted by the product's own check.
 examples: build
 	mkdir -p out
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -51,6 +52,8 @@
 	EndedLife clock.Millis
 	// TicketLimit is the most tickets of one team.
 	TicketLimit int
+	// Invariants takes violations; the zero value panics.
+	Invariants invariant.Checker
 }
 
 // Defaults of Options.
@@ -98,6 +101,8 @@
 	byRef map[ticket.Ref]*waiting
 	// offers holds live offers and, for a time, ended ones.
 	offers map[string]*offer
+	// live holds the offers that hold a slot, by request; no list is empty.
+	live map[ticket.Ref][]*offer
 	// inUse is the number of offers that hold a slot; it never passes the limit at the time of offering.
 	inUse int
 	// limit is the current most requests inside the backend server; at least 1.
@@ -126,14 +131,18 @@
 		queues: make(map[string][]*waiting),
 		byRef:  make(map[ticket.Ref]*waiting),
 		offers: make(map[string]*offer),
+		live:   make(map[ticket.Ref][]*offer),
 		limit:  o.Slots,
 	}
 }
 
-// Leave adds a router's ticket, or renews it. It reports false when the team's queue is full or the agent is
-// draining.
+// Leave adds a router's ticket, or renews it. A ticket whose offer is out already is not needed. It reports
+// false when the team's queue is full or the agent is draining.
 func (c *Controller) Leave(now clock.Millis, router string, t ticket.Ticket) bool {
 	ref := ticket.Ref{Router: router, Request: t.Request}
+	if c.hasLive(ref, t.Attempt) {
+		return true
+	}
 	if w, ok := c.byRef[ref]; ok {
 		w.t = t
 		return true
@@ -156,11 +165,20 @@
 	return slices.Insert(q, i, w)
 }
 
-// Withdraw takes a router's ticket back. A live offer for the request that has not started is withdrawn too.
-func (c *Controller) Withdraw(ref ticket.Ref) {
+// Withdraw takes a router's ticket back, and an offer for the request that the router has not accepted.
+func (c *Controller) Withdraw(now clock.Millis, ref ticket.Ref) {
 	if w, ok := c.byRef[ref]; ok {
 		c.remove(w)
 	}
+	for _, o := range slices.Clone(c.live[ref]) {
+		if o.state == Offered {
+			c.release(now, o, Withdrawn)
+		}
+	}
+}
+
+func (c *Controller) hasLive(ref ticket.Ref, attempt int) bool {
+	return slices.ContainsFunc(c.live[ref], func(o *offer) bool { return o.message.Attempt == attempt })
 }
 
 // WithdrawOffer ends an offer that has not started and returns the state that it is in afterwards. An offer
@@ -347,7 +365,9 @@
 		charged:  w.t.Cost,
 	}
 	c.offers[o.message.ID] = o
+	c.live[w.ref] = append(c.live[w.ref], o)
 	c.inUse++
+	c.o.Invariants.Checkf(c.inUse <= c.limit, "slots", "%d slots in use of %d", c.inUse, c.limit)
 	c.o.Order.Charge(o.t.Team, o.charged)
 	return o.message
 }
@@ -364,9 +384,8 @@
 }
 
 func (c *Controller) move(now clock.Millis, o *offer, s State) {
-	if s <= o.state {
-		panic(fmt.Sprintf("offer %s moved from %v to %v", o.message.ID, o.state, s))
-	}
+	c.o.Invariants.Checkf(s > o.state, "offer_moves_forward",
+		"offer %s moved from %v to %v", o.message.ID, o.state, s)
 	o.state = s
 	o.changed = now
 }
@@ -375,8 +394,19 @@
 func (c *Controller) release(now clock.Millis, o *offer, s State) {
 	c.move(now, o, s)
 	c.inUse--
+	c.forgetLive(o)
 	if s == Withdrawn {
 		c.o.Order.Charge(o.t.Team, -o.charged)
 		o.charged = 0
 	}
 }
+
+func (c *Controller) forgetLive(o *offer) {
+	ref := ticket.Ref{Router: o.message.Router, Request: o.message.Request}
+	l := slices.DeleteFunc(c.live[ref], func(v *offer) bool { return v == o })
+	if len(l) == 0 {
+		delete(c.live, ref)
+		return
+	}
+	c.live[ref] = l
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -118,6 +118,7 @@
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
 		Order:       share.NewLocal(a.weight),
+		Invariants:  o.Logger.Invariants(a.metrics.violations.Inc),
 	})
 	a.admission.SetServerUp(false)
 	a.counter.Register(a.metrics.registry, "peer")
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -43,7 +43,7 @@
 		a.admission.WithdrawOffer(now, id)
 	}
 	for _, id := range args.Withdraw {
-		a.admission.Withdraw(refOf(args.Router, id))
+		a.admission.Withdraw(now, refOf(args.Router, id))
 	}
 	for _, t := range args.Leave {
 		if !a.admission.Leave(now, args.Router, t) {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -10,7 +10,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
-	units    *prometheus.HistogramVec
+	// violations counts broken invariants.
+	violations prometheus.Counter
+	units      *prometheus.HistogramVec
 }
 
 // unitBuckets are bounds of a request's cost in service units.
@@ -31,7 +33,11 @@
 			Buckets: unitBuckets(),
 		}, []string{"service", "team"}),
 	}
-	m.registry.MustRegister(m.requests, m.units)
+	m.violations = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "laburnumring_agent_invariants_broken_total",
+		Help: "Invariants that the process found broken.",
+	})
+	m.registry.MustRegister(m.violations, m.requests, m.units)
 	return m
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/budget"
+	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
@@ -21,6 +22,8 @@
 	Placement laburnumring.Placement
 	// TicketWindow is the most requests of one team and service that have tickets out; 64 when zero.
 	TicketWindow int
+	// Invariants takes violations; the zero value panics.
+	Invariants invariant.Checker
 }
 
 // Bounds and defaults.
@@ -29,6 +32,15 @@
 	minRetryAfter       = 200 * clock.Millis(1)
 	maxRetryAfter       = 30 * clock.Second
 	budgetBurst         = 3
+	// minRenewal and maxRenewal bound the time after which a waiting request's tickets are left again.
+	minRenewal = 1 * clock.Second
+	maxRenewal = 8 * clock.Second
+	// minPause and maxPause bound the time before a request's tickets are left again after an agent refused
+	// them, or refused to start it.
+	minPause = 10 * clock.Millis(1)
+	maxPause = 1 * clock.Second
+	// maxNotRun is how many attempts of one request may end without a start.
+	maxNotRun = 16
 )
 
 // group is one team's requests for one service.
@@ -49,6 +61,14 @@
 	delivered int64
 	// tickets names the servers that hold a ticket; empty while bound.
 	tickets []string
+	// renewal is the time until the tickets are left again; it doubles at each renewal.
+	renewal clock.Millis
+	// renewAt is when the tickets are left again; no ticket is left before pausedUntil.
+	renewAt     clock.Millis
+	pausedUntil clock.Millis
+	// refusals counts the attempts and tickets that agents refused, and notRun the attempts alone.
+	refusals int
+	notRun   int
 	// avoid names the server of the last failed attempt.
 	avoid string
 	// bound names the server that runs the current attempt; empty while waiting.
@@ -68,7 +88,7 @@
 	queues map[group][]*pending
 	// budgets holds the retry budget of each group that ever had a request.
 	budgets map[group]*budget.Budget
-	// retries counts second and later attempts.
+	// retries counts attempts after one that may have started; each was taken from a budget.
 	retries int64
 }
 
@@ -107,6 +127,8 @@
 	}
 	out := c.withdrawAll(p, server)
 	c.dequeue(p)
+	c.o.Invariants.Checkf(p.r.Repeatable || p.tries == 0, "at_most_once",
+		"request %s is bound again after it may have started", p.r.ID)
 	p.attempt++
 	p.bound = server
 	out = append(out, Bind{
@@ -126,7 +148,7 @@
 		if len(out) >= n {
 			break
 		}
-		if !p.hasTicket(server) {
+		if !p.hasTicket(server) && now >= p.pausedUntil {
 			out = append(out, c.leave(now, p, server))
 		}
 	}
@@ -145,10 +167,15 @@
 	return c.leaveGroups(now, groups)
 }
 
-// TicketRefused records that an agent did not take a request's ticket.
-func (c *Controller) TicketRefused(server, id string) {
-	if p, ok := c.requests[id]; ok {
-		p.dropTicket(server)
+// TicketRefused records that an agent did not take a request's ticket. It is left again after a pause.
+func (c *Controller) TicketRefused(now clock.Millis, server, id string) {
+	p, ok := c.requests[id]
+	if !ok || !p.hasTicket(server) {
+		return
+	}
+	p.dropTicket(server)
+	if len(p.tickets) == 0 {
+		p.pause(now)
 	}
 }
 
@@ -175,16 +202,21 @@
 	}
 	p.delivered = max(p.delivered, res.Delivered)
 	p.suspect = p.suspect || res.ServerDied
-	if res.Outcome != outcome.NotRun {
+	if res.Outcome == outcome.NotRun {
+		p.notRun++
+	} else {
 		p.tries++
 	}
 	if !c.mayRetry(now, p, res) {
 		return c.finish(now, p, c.final(p, res))
 	}
-	c.retries++
 	p.avoid = p.bound
 	p.bound = ""
 	p.aborted = false
+	p.renewal = 0
+	if res.Outcome == outcome.NotRun {
+		p.pause(now)
+	}
 	g := p.group()
 	c.queues[g] = insertByArrival(c.queues[g], p)
 	return c.leaveWindow(now, g)
@@ -199,14 +231,11 @@
 	return c.finish(now, p, Finish{Outcome: outcome.NotRun, Reason: "caller_gone"})
 }
 
-// Tick ends waiting requests whose deadline has passed and aborts running ones.
+// Tick ends waiting requests whose deadline has passed, aborts running ones and renews tickets.
 func (c *Controller) Tick(now clock.Millis) []Action {
 	var out []Action
-	for _, id := range c.ids() {
+	for _, id := range c.overdue(now) {
 		p := c.requests[id]
-		if now < p.r.Deadline {
-			continue
-		}
 		if p.bound == "" {
 			out = append(out, c.finish(now, p, c.waitingEnd(p))...)
 			continue
@@ -216,7 +245,7 @@
 			out = append(out, Abort{Request: id, Reason: "deadline"})
 		}
 	}
-	return out
+	return append(out, c.renew(now)...)
 }
 
 // Waiting returns how many requests wait, and of how many groups.
@@ -230,7 +259,7 @@
 // Len returns how many requests have not ended.
 func (c *Controller) Len() int { return len(c.requests) }
 
-// Retries returns how many second and later attempts were made.
+// Retries returns how many attempts were made after one that may have started.
 func (c *Controller) Retries() int64 { return c.retries }
 
 // admit checks that a request may wait here.
@@ -276,7 +305,7 @@
 		return false
 	}
 	if res.Outcome == outcome.NotRun {
-		return true
+		return p.notRun < maxNotRun
 	}
 	if !p.r.Repeatable {
 		return false
@@ -285,7 +314,11 @@
 	if !ok || p.tries >= s.Retry().MaxAttempts() {
 		return false
 	}
-	return c.budget(p.group(), s).Retry()
+	if !c.budget(p.group(), s).Retry() {
+		return false
+	}
+	c.retries++
+	return true
 }
 
 // final turns the last attempt's result into the request's end. A request with an earlier attempt that may
@@ -310,6 +343,8 @@
 	}
 	delete(c.requests, p.r.ID)
 	f.Request = p.r.ID
+	c.o.Invariants.Checkf(f.Outcome != outcome.NotRun || p.tries == 0 && p.delivered == 0, "honest_refusal",
+		"request %s is called not run after %d tries", p.r.ID, p.tries)
 	if f.Outcome != outcome.Whole && f.RetryAfter == 0 {
 		f.RetryAfter = c.retryAfter(now, p.group())
 	}
@@ -352,9 +387,10 @@
 	var out []Action
 	q := c.queues[g]
 	for _, p := range q[:min(len(q), c.o.TicketWindow)] {
-		if len(p.tickets) > 0 {
+		if len(p.tickets) > 0 || now < p.pausedUntil {
 			continue
 		}
+		p.scheduleRenewal(now)
 		for _, server := range c.o.Placement.Choose(c.targets(p)) {
 			out = append(out, c.leave(now, p, server))
 		}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -54,9 +54,16 @@
 	})
 }
 
-// ids returns the ids of all requests in a fixed order.
-func (c *Controller) ids() []string {
-	return slices.Sorted(maps.Keys(c.requests))
+// overdue returns the ids of the requests whose deadline has passed, in a fixed order.
+func (c *Controller) overdue(now clock.Millis) []string {
+	var out []string
+	for id, p := range c.requests {
+		if now >= p.r.Deadline {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // OldestWait returns how long the oldest waiting request of a service has waited; 0 when none waits.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/laburnumring/laburnumring/internal/invariant"
 )
 
 // Event is one kind of log entry.
@@ -49,3 +51,11 @@
 func (l *Logger) Log(e Event, fields ...any) {
 	l.l.Log(e.level, e.message, append([]any{"event", e.id}, fields...)...)
 }
+
+// Invariants returns a checker that logs each violation as InvariantBroken and counts it.
+func (l *Logger) Invariants(count func()) invariant.Checker {
+	return invariant.New(func(v invariant.ViolationError) {
+		count()
+		l.Log(InvariantBroken, "rule", v.Rule, "detail", v.Detail)
+	})
+}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -191,10 +191,11 @@
 		return
 	}
 	r := l.r
+	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, id := range requests {
-		r.dispatch.TicketRefused(l.server, id)
+		r.dispatch.TicketRefused(now, l.server, id)
 	}
 }
 
@@ -224,14 +225,11 @@
 	l.signal()
 }
 
-// withdraw takes back a ticket: one that was not sent yet is dropped. An agent handles a batch's withdrawals
-// before its tickets.
+// withdraw takes back a ticket: one that was not sent yet is dropped, but it may be the renewal of one that
+// was. An agent handles a batch's withdrawals before its tickets.
 func (l *link) withdraw(request string) {
-	n := len(l.outbox.Leave)
 	l.outbox.Leave = slices.DeleteFunc(l.outbox.Leave, func(t ticket.Ticket) bool { return t.Request == request })
-	if len(l.outbox.Leave) == n {
-		l.outbox.Withdraw = append(l.outbox.Withdraw, request)
-	}
+	l.outbox.Withdraw = append(l.outbox.Withdraw, request)
 }
 
 // invoke calls an agent's method and gives up after callTimeout or when ctx ends.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -11,7 +11,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
-	duration *prometheus.HistogramVec
+	// violations counts broken invariants.
+	violations prometheus.Counter
+	duration   *prometheus.HistogramVec
 }
 
 // durationBuckets are bounds of a request's time in seconds.
@@ -32,7 +34,11 @@
 			Buckets: durationBuckets(),
 		}, []string{"service", "team"}),
 	}
-	m.registry.MustRegister(m.requests, m.duration)
+	m.violations = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "laburnumring_router_invariants_broken_total",
+		Help: "Invariants that the process found broken.",
+	})
+	m.registry.MustRegister(m.violations, m.requests, m.duration)
 	return m
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -94,18 +94,20 @@
 // New returns a router that does nothing until Run.
 func New(o Options) *Router {
 	b := board.New()
+	m := newMetrics()
 	r := &Router{
 		o:          o,
 		id:         o.Name + "." + o.Incarnation,
 		counter:    &traffic.Counter{},
-		metrics:    newMetrics(),
+		metrics:    m,
 		data:       newDataClient(o.TLS),
 		board:      b,
 		config:     configuration.New(b),
 		membership: membership.New(b),
 		dispatch: dispatch.New(dispatch.Options{
-			Board:     b,
-			Placement: placement.NewSample(o.Rand, ticketsPerRequest),
+			Board:      b,
+			Placement:  placement.NewSample(o.Rand, ticketsPerRequest),
+			Invariants: o.Logger.Invariants(m.violations.Inc),
 		}),
 		subset: subset.New(subset.Options{Board: b, Router: o.Name, Place: o.Place, Degree: o.SubsetDegree}),
 		links:  make(map[string]*link),
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,322 @@
+// Package soak_test joins the pure controllers through a network that a seed drives, and breaks it.
+package soak_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/answer"
+	"github.com/laburnumring/laburnumring/internal/dispatch"
+	"github.com/laburnumring/laburnumring/internal/ticket"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/outcome"
+	"github.com/laburnumring/laburnumring/pkg/place"
+	"github.com/laburnumring/laburnumring/pkg/retry"
+	"github.com/laburnumring/laburnumring/pkg/server"
+	"github.com/laburnumring/laburnumring/pkg/service"
+	"github.com/laburnumring/laburnumring/pkg/site"
+	"github.com/laburnumring/laburnumring/pkg/team"
+)
+
+var (
+	seeds     = flag.Int("seeds", 6, "how many seeds to run")
+	seedStart = flag.Uint64("seed-start", 1, "the first seed")
+)
+
+// summary counts what the runs did; it is printed as the last line.
+type summary struct {
+	Seeds     int            `json:"seeds"`
+	SeedStart uint64         `json:"seed_start"`
+	Requests  int            `json:"requests"`
+	Retries   int64          `json:"retries"`
+	Outcomes  map[string]int `json:"outcomes"`
+	Faults    map[string]int `json:"faults"`
+	Broken    int            `json:"broken_invariants"`
+}
+
+var total = summary{Outcomes: make(map[string]int), Faults: make(map[string]int)}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	status := m.Run()
+	data, err := json.Marshal(total)
+	if err != nil {
+		status = 1
+	}
+	fmt.Println(string(data))
+	os.Exit(status)
+}
+
+// call is one caller's request and the truth about it.
+type call struct {
+	r    dispatch.Request
+	want []byte
+	got  []byte
+	// starts counts the servers that began it.
+	starts int
+	ends   int
+	router *routerNode
+	life   int
+}
+
+// trial is one run of one seed.
+type trial struct {
+	*network
+	t       *testing.T
+	seed    uint64
+	site    *site.Site
+	routers []*routerNode
+	agents  []*agentNode
+	calls   map[string]*call
+	order   []string
+	// firstTries counts accepted requests by router life.
+	firstTries map[string]int
+	// nobody stands for the callers and the world.
+	nobody *node
+	// full says that no more requests are sent.
+	full bool
+}
+
+const (
+	routerCount = 3
+	agentCount  = 4
+	// outstanding is how many requests callers keep up, more than the servers have slots.
+	outstanding = 40
+	faultTime   = 12 * clock.Second
+	// mendTime is how long after the last fault every older request may wait.
+	mendTime  = 15 * clock.Second
+	drainTime = 20 * clock.Second
+
+	budgetPercent = 20
+	budgetBurst   = 3
+	longDeadline  = 10 * clock.Minute
+)
+
+func TestSeeds(t *testing.T) {
+	for i := range *seeds {
+		seed := *seedStart + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { newTrial(t, seed).run() })
+	}
+	total.Seeds, total.SeedStart = *seeds, *seedStart
+}
+
+func newTrial(t *testing.T, seed uint64) *trial {
+	w := &trial{
+		network: newNetwork(rand.New(rand.NewPCG(seed, 7))), t: t, seed: seed, site: newSite(),
+		calls: make(map[string]*call), firstTries: make(map[string]int), nobody: &node{name: "world"},
+	}
+	for i := range agentCount {
+		a := &agentNode{node: node{name: fmt.Sprintf("server-%d", i)}, t: w, up: true}
+		a.begin()
+		w.agents = append(w.agents, a)
+		w.every(agentTick, &a.node, a.tick)
+	}
+	for i := range routerCount {
+		r := &routerNode{node: node{name: fmt.Sprintf("router-%d", i)}, t: w}
+		r.begin()
+		w.routers = append(w.routers, r)
+		w.every(routerTick, &r.node, r.tick)
+		w.every(pollInterval, &r.node, r.poll)
+	}
+	return w
+}
+
+func newSite() *site.Site {
+	s := site.New("soak")
+	s.AddTeams(team.New("a", team.Options{}), team.New("b", team.Options{}), team.New("c", team.Options{}))
+	s.AddServices(service.New("pool", service.Options{
+		Retry: retry.New(retry.Options{MaxAttempts: 3, BudgetPercent: budgetPercent}),
+	}))
+	s.AddPlaces(place.New("here", "north"))
+	for i := range agentCount {
+		s.AddServers(server.New(fmt.Sprintf("server-%d", i), server.Options{
+			Service: "pool", Place: "here", Slots: slots,
+			Address: fmt.Sprintf("127.0.0.1:%d", 1+2*i), Agent: fmt.Sprintf("127.0.0.1:%d", 2+2*i),
+		}))
+	}
+	return s
+}
+
+func (w *trial) run() {
+	w.faulty = true
+	for range outstanding {
+		w.next()
+	}
+	w.every(700, w.nobody, func() {
+		if w.faulty {
+			w.fault()
+		}
+	})
+	for w.step(faultTime) {
+	}
+	w.faulty = false
+	clear(w.cuts)
+	old := len(w.order)
+	for w.step(faultTime + mendTime) {
+	}
+	w.checkEnded("bounded_wait", w.order[:old])
+	w.full = true
+	for w.step(faultTime + mendTime + drainTime) {
+	}
+	w.checkEnded("every_end", w.order)
+	w.count()
+}
+
+// next lets a caller send its next request soon.
+func (w *trial) next() {
+	if w.full {
+		return
+	}
+	w.after(clock.Millis(1+w.rng.IntN(100)), w.nobody, w.submit)
+}
+
+func (w *trial) submit() {
+	r := w.routers[w.rng.IntN(len(w.routers))]
+	if w.now < r.frozenUntil {
+		w.next()
+		return
+	}
+	i := len(w.order)
+	id := fmt.Sprintf("%s.%d", r.id(), i)
+	deadline := longDeadline
+	if w.rng.IntN(4) == 0 {
+		deadline = clock.Millis(50 + w.rng.IntN(2000))
+	}
+	c := &call{router: r, life: r.life, r: dispatch.Request{
+		ID: id, Team: string(rune('a' + w.rng.IntN(3))), Service: "pool", Cost: 1,
+		Deadline: w.now + deadline, Repeatable: w.rng.IntN(2) == 0, Fingerprint: uint64(i),
+	}}
+	c.want = bytes.Repeat(fmt.Appendf(nil, "%04d,", i), 4+w.rng.IntN(100))
+	w.calls[id] = c
+	w.order = append(w.order, id)
+	w.firstTries[r.id()]++
+	actions, err := r.dispatch.Submit(w.now, c.r)
+	if err != nil {
+		w.ended(dispatch.Finish{Request: id, Outcome: outcome.NotRun})
+		return
+	}
+	r.do(actions)
+}
+
+// fault breaks something, sometimes two things at once.
+func (w *trial) fault() {
+	for range 1 + w.rng.IntN(2) {
+		a := w.agents[w.rng.IntN(len(w.agents))]
+		r := w.routers[w.rng.IntN(len(w.routers))]
+		span := clock.Millis(100 + w.rng.IntN(4000))
+		name := []string{"crash", "agent_restart", "router_restart", "agent_freeze", "router_freeze", "partition"}[w.rng.IntN(6)]
+		w.faults[name]++
+		switch name {
+		case "crash":
+			a.crash(span)
+		case "agent_restart":
+			a.begin()
+		case "router_restart":
+			w.restart(r)
+		case "agent_freeze":
+			a.frozenUntil = w.now + span
+		case "router_freeze":
+			r.frozenUntil = w.now + span
+		case "partition":
+			w.cuts[[2]*node{&r.node, &a.node}] = w.now + span
+		}
+	}
+}
+
+// restart begins a router without state; its callers see their connections break.
+func (w *trial) restart(r *routerNode) {
+	for _, id := range w.order {
+		if c := w.calls[id]; c.router == r && c.life == r.life && c.ends == 0 {
+			c.ends++
+			total.Outcomes["router_lost"]++
+			w.next()
+		}
+	}
+	w.countRetries(r)
+	r.begin()
+}
+
+func (w *trial) started(_ *agentNode, s ticket.Start) {
+	c := w.calls[s.Request]
+	c.starts++
+	if !c.r.Repeatable && c.starts > 1 {
+		w.broken("at_most_once", fmt.Sprintf("%s started %d times", s.Request, c.starts))
+	}
+}
+
+func (w *trial) answerOf(s ticket.Start) []byte { return w.calls[s.Request].want }
+
+// refusal mirrors the agent's answer to a start that it refuses.
+func (w *trial) refusal(err error) answer.End {
+	var refused *admission.RefusedError
+	if errors.As(err, &refused) && refused.NeverStarted() {
+		return answer.End{Outcome: outcome.NotRun, Reason: refused.Reason}
+	}
+	return answer.End{Outcome: outcome.Unknown, Reason: "refused"}
+}
+
+func (w *trial) ended(f dispatch.Finish) {
+	c := w.calls[f.Request]
+	c.ends++
+	total.Outcomes[string(f.Outcome)]++
+	w.next()
+	switch {
+	case c.ends > 1:
+		w.broken("one_end", f.Request)
+	case f.Outcome == outcome.NotRun && c.starts > 0:
+		w.broken("not_run", f.Request+" started")
+	case f.Outcome == outcome.Whole && !bytes.Equal(c.got, c.want):
+		w.broken("whole", fmt.Sprintf("%s: %d bytes of %d", f.Request, len(c.got), len(c.want)))
+	case !bytes.HasPrefix(c.want, c.got):
+		w.broken("prefix", f.Request)
+	}
+}
+
+// checkEnded looks for requests that have no end.
+func (w *trial) checkEnded(rule string, ids []string) {
+	for _, id := range ids {
+		if c := w.calls[id]; c.ends == 0 {
+			_, bound := c.router.attempts[id]
+			w.broken(rule, fmt.Sprintf("%s has not ended; bound %v", id, bound))
+		}
+	}
+}
+
+func (w *trial) count() {
+	for _, r := range w.routers {
+		w.countRetries(r)
+	}
+	total.Requests += len(w.order)
+	for k, n := range w.faults {
+		total.Faults[k] += n
+	}
+}
+
+// countRetries holds a router's retries to its teams' budgets.
+func (w *trial) countRetries(r *routerNode) {
+	n := r.dispatch.Retries()
+	total.Retries += n
+	if most := int64(w.firstTries[r.id()]*budgetPercent/100 + len(w.site.Teams())*budgetBurst); n > most {
+		w.broken("budget", fmt.Sprintf("%s: %d retries, allowed are %d", r.id(), n, most))
+	}
+}
+
+func (w *trial) broken(rule, detail string) {
+	total.Broken++
+	w.t.Errorf("seed %d at %d ms: invariant %s broken: %s", w.seed, w.now, rule, detail)
+}
+
+func (w *trial) agent(name string) *agentNode {
+	return w.agents[slices.IndexFunc(w.agents, func(a *agentNode) bool { return a.name == name })]
+}
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
