share: Order teams by fleet-wide service

Cause: each agent shared fairly by itself only; a team that lands on many agents received many shares.

Ruled out: every agent telling every other (grows with agents squared); the whole vector of counters through the tree (760 agents x 52 teams each period at the root).

Change: agents of a service form a tree by (region, place, name) with a fan-out of eight. A child reports cumulative subtree totals, so a lost, doubled or late report counts nothing wrong; a new parent counts from what the last one acknowledged. The root lifts a team that returns from idle, bounds the lead of a waiting one, and hands changes down under a version that grows over roots. A root without history takes over a child's view. Policies are named by the setting policy of router and agent; local_fair, round_robin and two_choices are baselines.

--- /dev/null
+++ b/internal/admission/teams.go
@@ -0,0 +1,10 @@
+package admission
+
+// Teams returns the teams that have tickets here, in no order.
+func (c *Controller) Teams() []string {
+	out := make([]string, 0, len(c.queues))
+	for name := range c.queues {
+		out = append(out, name)
+	}
+	return out
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,12 @@
 	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
+	// Policy decides the order of teams; laburnumring.Fair when empty.
+	Policy laburnumring.Policy
+	// SharePeriod is the time between two reports to the parent; 100 ms when zero.
+	SharePeriod time.Duration
+	// ShareLead is the most weighted service units by which a waiting team's counter may lead.
+	ShareLead int64
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 }
@@ -80,6 +86,8 @@
 	config    *configuration.Controller
 	admission *admission.Controller
 	sessions  map[string]*session
+	// fleet is the fleet-wide order of teams; nil under a policy without one. It is guarded by mu.
+	fleet *share.Fleet
 	// started holds runs by offer, from start until keepRuns after their end.
 	started map[string]*startedRun
 	// serverUp is what the last probe said.
@@ -114,10 +122,15 @@
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 	}
+	if a.o.SharePeriod == 0 {
+		a.o.SharePeriod = defaultSharePeriod
+	}
+	order, fleet := a.newOrder()
+	a.fleet = fleet
 	a.admission = admission.New(admission.Options{
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
-		Order:       share.NewLocal(a.weight),
+		Order:       order,
 	})
 	a.admission.SetServerUp(false)
 	a.counter.Register(a.metrics.registry, "peer")
@@ -135,7 +148,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run} {
+	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run, a.shareLoop} {
 		wg.Go(func() { loop(loops) })
 	}
 	a.o.Logger.Log(event.Started, "server", a.o.Server.Name(), "incarnation", a.o.Incarnation)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -72,7 +72,7 @@
 	s.outbox = nil
 	reply.Load = a.admission.InUse() + a.admission.Waiting()
 	reply.Slots = a.o.Server.Slots()
-	if a.admission.Waiting() == 0 {
+	if a.admission.Waiting() == 0 && !a.o.Policy.Pushes() {
 		reply.Free = a.admission.Free()
 	}
 	reply.Draining = a.admission.Draining()
--- /dev/null
+++ b/internal/agent/share_error.go
@@ -0,0 +1,12 @@
+package agent
+
+// policyError reports a call that the agent's policy does not know.
+type policyError struct {
+	// Call is the name of the call.
+	Call string
+}
+
+// Error implements error.
+func (e *policyError) Error() string {
+	return "the policy of this agent does not take the call " + e.Call
+}
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -28,6 +28,7 @@
 			Name:          s.Name,
 			Place:         s.Place,
 			SubsetDegree:  s.SubsetDegree,
+			Policy:        s.Policy,
 			Incarnation:   router.NewIncarnation(),
 			Clock:         wallclock.New(),
 			Log:           platform.NewLog(s.Log, bytes),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,6 +24,7 @@
 	RequestNotWhole     = Event{5001, log.InfoLevel, "request ended without a whole answer"}
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
+	ShareParent         = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
 )
 
@@ -36,5 +37,6 @@
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ConnectionUntrusted,
+		ShareParent,
 	}
 }
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,19 @@
+package placement
+
+import (
+	"math/rand/v2"
+
+	"github.com/laburnumring/laburnumring"
+)
+
+// For returns the placement of a policy; tickets is how many agents a policy that does not push chooses.
+func For(p laburnumring.Policy, rng *rand.Rand, tickets int) laburnumring.Placement {
+	switch p {
+	case laburnumring.RoundRobin:
+		return NewRoundRobin(rng)
+	case laburnumring.TwoChoices:
+		return NewTwoChoices(rng)
+	default:
+		return NewSample(rng, tickets)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,6 +43,8 @@
 	Logger *event.Logger
 	// TLS is used towards agents; nil means no TLS.
 	TLS *tls.Config
+	// Policy chooses the agents for a request; laburnumring.Fair when empty.
+	Policy laburnumring.Policy
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 	// Rand makes the router's random choices; it is used under the router's lock.
@@ -105,7 +107,7 @@
 		membership: membership.New(b),
 		dispatch: dispatch.New(dispatch.Options{
 			Board:     b,
-			Placement: placement.NewSample(o.Rand, ticketsPerRequest),
+			Placement: placement.For(o.Policy, o.Rand, ticketsPerRequest),
 		}),
 		subset: subset.New(subset.Options{Board: b, Router: o.Name, Place: o.Place, Degree: o.SubsetDegree}),
 		links:  make(map[string]*link),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 
+	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/document"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -36,6 +37,8 @@
 	SubsetDegree int `yaml:"subset_degree"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
+	// Policy chooses the agents for a request; laburnumring when empty.
+	Policy laburnumring.Policy `yaml:"policy"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
 	ShutdownLimitMs clock.Millis `yaml:"shutdown_limit_ms"`
 }
@@ -57,6 +60,10 @@
 	Listen string `yaml:"listen"`
 	// Log is the IP address and port of the platform's log.
 	Log string `yaml:"log"`
+	// Policy decides the order of teams; laburnumring when empty.
+	Policy laburnumring.Policy `yaml:"policy"`
+	// Share holds the settings of the fair share.
+	Share Share `yaml:"share"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -79,6 +86,7 @@
 		c.fail("subset_degree", strconv.Itoa(r.SubsetDegree), "a whole number from 0 to "+strconv.Itoa(maxSubsetDegree))
 	}
 	c.format(r.LogFormat)
+	c.policy(&r.Policy)
 	c.limit(&r.ShutdownLimitMs)
 	return r, c.result()
 }
@@ -103,6 +111,8 @@
 	c.address("listen", a.Listen)
 	c.address("log", a.Log)
 	c.format(a.LogFormat)
+	c.policy(&a.Policy)
+	c.share(&a.Share)
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
 }
--- /dev/null
+++ b/internal/settings/share.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"strconv"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Share holds the settings of an agent's fair share.
+type Share struct {
+	// PeriodMs is the time between two reports to the parent; 100 when zero.
+	PeriodMs clock.Millis `yaml:"period_ms"`
+	// LeadUnits is the most weighted service units by which a waiting team's counter may lead; 16384 when zero.
+	LeadUnits int64 `yaml:"lead_units"`
+}
+
+// Bounds and defaults of Share.
+const (
+	defaultSharePeriod = 100 * clock.Millis(1)
+	minSharePeriod     = 10 * clock.Millis(1)
+	maxSharePeriod     = 1 * clock.Minute
+	defaultLeadUnits   = 1 << 14
+	maxLeadUnits       = 1 << 40
+)
+
+func (c *checker) share(s *Share) {
+	if s.PeriodMs == 0 {
+		s.PeriodMs = defaultSharePeriod
+	}
+	if s.LeadUnits == 0 {
+		s.LeadUnits = defaultLeadUnits
+	}
+	if s.PeriodMs < minSharePeriod || s.PeriodMs > maxSharePeriod {
+		c.fail("share", strconv.FormatInt(int64(s.PeriodMs), 10), "period_ms: a whole number from 10 to 60000")
+	}
+	if s.LeadUnits < 1 || s.LeadUnits > maxLeadUnits {
+		c.fail("share", strconv.FormatInt(s.LeadUnits, 10), "lead_units: a whole number from 1 to 2^40")
+	}
+}
+
+func (c *checker) policy(p *laburnumring.Policy) {
+	switch *p {
+	case "":
+		*p = laburnumring.Fair
+	case laburnumring.Fair, laburnumring.LocalFair, laburnumring.RoundRobin, laburnumring.TwoChoices:
+	default:
+		c.fail("policy", string(*p), "laburnumring, local_fair, round_robin or two_choices")
+	}
+}
--- /dev/null
+++ b/internal/share/oldest.go
@@ -0,0 +1,25 @@
+package share
+
+import (
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Oldest orders teams by the age of their oldest waiting request, whatever service they received.
+type Oldest struct{}
+
+var _ laburnumring.TeamOrder = Oldest{}
+
+// Next implements laburnumring.TeamOrder.
+func (Oldest) Next(_ clock.Millis, candidates []laburnumring.Candidate) int {
+	best := 0
+	for i, c := range candidates {
+		if c.Since < candidates[best].Since {
+			best = i
+		}
+	}
+	return best
+}
+
+// Charge implements laburnumring.TeamOrder.
+func (Oldest) Charge(string, int64) {}
--- a/policy.go
+++ b/policy.go
@@ -37,3 +37,26 @@
 	// Choose returns the servers to leave tickets with, at most one ticket each. Targets are sorted by name.
 	Choose(targets []Target) []string
 }
+
+// Policy names a pair of a Placement and a TeamOrder. Routers and agents of a fleet use the same.
+type Policy string
+
+// The policies. All but Fair are baselines for measurements.
+const (
+	// Fair leaves tickets and shares fairly over all agents of a service.
+	Fair Policy = "laburnumring"
+	// LocalFair leaves tickets and shares fairly at each agent alone.
+	LocalFair Policy = "local_fair"
+	// RoundRobin pushes each request to the next agent, which serves the oldest first.
+	RoundRobin Policy = "round_robin"
+	// TwoChoices pushes each request to the less loaded of two agents, which serves the oldest first.
+	TwoChoices Policy = "two_choices"
+)
+
+// Policies returns all policies, Fair first.
+func Policies() []Policy {
+	return []Policy{Fair, LocalFair, RoundRobin, TwoChoices}
+}
+
+// Pushes reports whether routers bind a request to one agent's queue before a slot is free.
+func (p Policy) Pushes() bool { return p == RoundRobin || p == TwoChoices }
