--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -47,6 +47,12 @@
 	Logger *event.Logger
 	// LogRetention is the least time that the platform's log keeps records; an hour when zero.
 	LogRetention clock.Millis
+	// Policy decides the order of teams; laburnumring.Fair when empty.
+	Policy laburnumring.Policy
+	// SharePeriod is the time between two reports to the parent; 100 ms when zero.
+	SharePeriod time.Duration
+	// ShareLead is the most weighted service units by which a waiting team's counter may lead.
+	ShareLead int64
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 }
@@ -82,6 +88,8 @@
 	config    *configuration.Controller
 	admission *admission.Controller
 	sessions  map[string]*session
+	// fleet is the fleet-wide order of teams; nil under a policy without one. It is guarded by mu.
+	fleet *share.Fleet
 	// started holds runs by offer, from start until keepRuns after their end.
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
@@ -119,10 +127,15 @@
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
 	}
+	if a.o.SharePeriod == 0 {
+		a.o.SharePeriod = defaultSharePeriod
+	}
+	order, fleet := a.newOrder()
+	a.fleet = fleet
 	a.admission = admission.New(admission.Options{
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
-		Order:       share.NewLocal(a.weight),
+		Order:       order,
 		Invariants:  o.Logger.Invariants(a.metrics.violations.Inc),
 	})
 	a.admission.SetServerUp(false)
@@ -141,7 +154,9 @@
 func (a *Agent) Run(ctx context.Context) error {
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){a.tickLoop, a.probeLoop, a.follower.Run, a.claimAppendLoop, a.claimReadLoop} {
+	for _, loop := range []func(context.Context){
+		a.tickLoop, a.probeLoop, a.follower.Run, a.claimAppendLoop, a.claimReadLoop, a.shareLoop,
+	} {
 		wg.Go(func() { loop(loops) })
 	}
 	a.o.Logger.Log(event.Started, "server", a.o.Server.Name(), "incarnation", a.o.Incarnation)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,6 +24,7 @@
 	RequestNotWhole     = Event{5001, log.InfoLevel, "request ended without a whole answer"}
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
+	ShareParent         = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
 	ClaimsCurrent       = Event{7001, log.InfoLevel, "idempotency keys current"}
 	ClaimLogUnavailable = Event{7002, log.WarnLevel, "claim log unavailable"}
@@ -43,5 +44,6 @@
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ConnectionUntrusted,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
+		ShareParent,
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 
+	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/document"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -37,6 +38,8 @@
 	SubsetDegree int `yaml:"subset_degree"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
+	// Policy chooses the agents for a request; laburnumring when empty.
+	Policy laburnumring.Policy `yaml:"policy"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
 	ShutdownLimitMs clock.Millis `yaml:"shutdown_limit_ms"`
 }
@@ -60,6 +63,10 @@
 	Log string `yaml:"log"`
 	// LogRetentionMs is the least time that the log keeps records; an hour when zero.
 	LogRetentionMs clock.Millis `yaml:"log_retention_ms"`
+	// Policy decides the order of teams; laburnumring when empty.
+	Policy laburnumring.Policy `yaml:"policy"`
+	// Share holds the settings of the fair share.
+	Share Share `yaml:"share"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -82,6 +89,7 @@
 		c.fail("subset_degree", strconv.Itoa(r.SubsetDegree), "a whole number from 0 to "+strconv.Itoa(maxSubsetDegree))
 	}
 	c.format(r.LogFormat)
+	c.policy(&r.Policy)
 	c.limit(&r.ShutdownLimitMs)
 	return r, c.result()
 }
@@ -107,6 +115,8 @@
 	c.address("log", a.Log)
 	c.retention(&a.LogRetentionMs)
 	c.format(a.LogFormat)
+	c.policy(&a.Policy)
+	c.share(&a.Share)
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
 }
