--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -25,7 +25,7 @@
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		s, err := settings.ReadAgent(*file)
 		if err != nil {
-			return err
+			return rejected(env, "agent", err)
 		}
 		bytes := &traffic.Counter{}
 		a, err := agent.New(agent.Options{
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -21,7 +21,7 @@
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		s, err := settings.ReadRouter(*file)
 		if err != nil {
-			return err
+			return rejected(env, "router", err)
 		}
 		bytes := &traffic.Counter{}
 		r := router.New(router.Options{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -206,14 +206,15 @@
 		return err
 	}
 	text := fmt.Sprintf("server: %s\nservice: %s\nplace: %s\nkind: %s\nserver_address: %s\nslots: %d\nlisten: %s\n"+
-		"log: %s\nshutdown_limit_ms: 20000\n%s",
+		"log: %s\ninsecure_loopback: true\nshutdown_limit_ms: 20000\n%s",
 		s.Name(), s.Service(), s.Place(), kind, s.Address(), s.Slots(), s.Agent(), f.platform, f.o.AgentSettings)
 	return f.runProduct(s.Name()+"-agent", "agent", text)
 }
 
 func (f *Fleet) startRouter(i int) error {
 	name := fmt.Sprintf("router-%d", i+1)
-	text := fmt.Sprintf("name: %s\nplace: place-a\nlisten: %s\nlog: %s\nvms: %s\nshutdown_limit_ms: 20000\n%s",
+	text := fmt.Sprintf("name: %s\nplace: place-a\nlisten: %s\nlog: %s\nvms: %s\n"+
+		"caller_auth: header\ninsecure_loopback: true\nshutdown_limit_ms: 20000\n%s",
 		name, f.routers[i], f.platform, f.platform, f.o.RouterSettings)
 	return f.runProduct(name, "router", text)
 }
--- /dev/null
+++ b/internal/settings/checker.go
@@ -0,0 +1,158 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/document"
+	"github.com/laburnumring/laburnumring/pkg/service"
+	"github.com/laburnumring/laburnumring/pkg/site"
+)
+
+// addressField is an address that was read, with its field's name.
+type addressField struct {
+	field   string
+	address netip.AddrPort
+}
+
+// checker keeps the first fault of a settings file.
+type checker struct {
+	doc *document.Document
+	// addresses are the well-formed addresses so far.
+	addresses []addressField
+	// err is the first fault found; later ones are dropped.
+	err *document.FieldError
+}
+
+func read(file string, v any) (*checker, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	doc, err := document.Parse(file, data, v)
+	if err != nil {
+		return nil, err
+	}
+	return &checker{doc: doc}, nil
+}
+
+// fail records a fault of the field, whose name has a dot between the steps of its path.
+func (c *checker) fail(field, value, allowed string) {
+	if c.err != nil {
+		return
+	}
+	var path []any
+	for step := range strings.SplitSeq(field, ".") {
+		path = append(path, step)
+	}
+	c.err = c.doc.Fault(value, allowed, path...)
+}
+
+func (c *checker) result() error {
+	if c.err == nil {
+		return nil
+	}
+	return c.err
+}
+
+func (c *checker) name(field, value string) {
+	if !site.ValidName(value) {
+		c.fail(field, value, "lower-case letters, digits and hyphens, at most 63, from letter or digit to letter or digit")
+	}
+}
+
+// address checks an address to call.
+func (c *checker) address(field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil || a.Port() == 0 {
+		c.fail(field, value, "an IP address and a port from 1 to 65535")
+		return
+	}
+	c.addresses = append(c.addresses, addressField{field, a})
+}
+
+// listen checks an address to listen on; port 0 lets the system choose.
+func (c *checker) listen(field, value string) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		c.fail(field, value, "an IP address and a port from 0 to 65535")
+		return
+	}
+	c.addresses = append(c.addresses, addressField{field, a})
+}
+
+func (c *checker) number(field string, n, low, high int) {
+	if n < low || n > high {
+		c.fail(field, strconv.Itoa(n), fmt.Sprintf("a whole number from %d to %d", low, high))
+	}
+}
+
+func (c *checker) kind(k service.Kind) {
+	if k != service.Model && k != service.Plain {
+		c.fail("kind", string(k), "model or plain")
+	}
+}
+
+func (c *checker) auth(a *Auth) {
+	if *a == "" {
+		*a = TokenAuth
+	}
+	if *a != TokenAuth && *a != HeaderAuth {
+		c.fail("caller_auth", string(*a), "token or header")
+	}
+}
+
+// security checks that links between processes are either under TLS or on loopback. It is called after all
+// addresses.
+func (c *checker) security(t *TLS, insecure bool) {
+	if t != nil && insecure {
+		c.fail("insecure_loopback", "true", "false beside tls")
+		return
+	}
+	if t != nil {
+		c.keyPair("tls", *t)
+		c.file("tls.authority", t.Authority)
+		return
+	}
+	if !insecure {
+		c.fail("tls", "", "certificate, key and authority, unless insecure_loopback is true")
+		return
+	}
+	for _, a := range c.addresses {
+		if !a.address.Addr().IsLoopback() {
+			c.fail(a.field, a.address.String(), "a loopback address while insecure_loopback is true")
+		}
+	}
+}
+
+func (c *checker) keyPair(field string, t TLS) {
+	c.file(field+".certificate", t.Certificate)
+	c.file(field+".key", t.Key)
+}
+
+func (c *checker) file(field, value string) {
+	if value == "" {
+		c.fail(field, value, "the path of a PEM file")
+	}
+}
+
+func (c *checker) format(value string) {
+	switch value {
+	case "", "text", "logfmt", "json":
+	default:
+		c.fail("log_format", value, "text, logfmt or json")
+	}
+}
+
+func (c *checker) limit(m *clock.Millis) {
+	if *m == 0 {
+		*m = defaultShutdownLimit
+	}
+	if *m < 0 || *m > maxShutdownLimit {
+		c.fail("shutdown_limit_ms", strconv.FormatInt(int64(*m), 10), "a whole number from 0 to 86400000")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,15 +2,8 @@
 package settings
 
 import (
-	"fmt"
-	"net/netip"
-	"os"
-	"strconv"
-
 	"github.com/laburnumring/laburnumring/pkg/clock"
-	"github.com/laburnumring/laburnumring/pkg/document"
 	"github.com/laburnumring/laburnumring/pkg/service"
-	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
 const (
@@ -20,6 +13,26 @@
 	maxSubsetDegree      = 4096
 )
 
+// TLS names the key files of a process, which are read again when they change.
+type TLS struct {
+	// Certificate and Key are the process's own PEM files.
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	// Authority is the PEM file of the certificates that sign those of the other side.
+	Authority string `yaml:"authority"`
+}
+
+// Auth says how a router establishes a caller's team.
+type Auth string
+
+// The ways to establish a caller's team.
+const (
+	// TokenAuth takes the team of the caller's bearer token or client certificate.
+	TokenAuth Auth = "token"
+	// HeaderAuth believes the team header, for a router that only trusted callers can reach.
+	HeaderAuth Auth = "header"
+)
+
 // Router holds the settings of a router.
 type Router struct {
 	// Name is the router's name, unique in the site.
@@ -28,12 +41,23 @@
 	Place string `yaml:"place"`
 	// Listen is the IP address and port for callers.
 	Listen string `yaml:"listen"`
+	// ControlListen is the IP address and port for operators: status and metrics; empty for none.
+	ControlListen string `yaml:"control_listen"`
 	// Log and VMs are the IP addresses and ports of the platform's log and VM list.
 	Log string `yaml:"log"`
 	VMs string `yaml:"vms"`
 	// SubsetDegree is to how many agents of each service the router keeps connections while nothing waits
 	// long; 16 when zero.
 	SubsetDegree int `yaml:"subset_degree"`
+	// CallerAuth is token or header; token when empty.
+	CallerAuth Auth `yaml:"caller_auth"`
+	// CallerTLS are the keys of the callers' listener; callers speak plain HTTP when it is not given. With
+	// an authority, callers may prove their team by a certificate.
+	CallerTLS *TLS `yaml:"caller_tls"`
+	// TLS are the keys towards agents and operators.
+	TLS *TLS `yaml:"tls"`
+	// InsecureLoopback turns TLS between processes off; all addresses must be loopback then.
+	InsecureLoopback bool `yaml:"insecure_loopback"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -53,10 +77,14 @@
 	ServerAddress string `yaml:"server_address"`
 	// Slots is the most requests inside the backend server at once.
 	Slots int `yaml:"slots"`
-	// Listen is the IP address and port for routers.
+	// Listen is the IP address and port for routers, agents and operators.
 	Listen string `yaml:"listen"`
 	// Log is the IP address and port of the platform's log.
 	Log string `yaml:"log"`
+	// TLS are the keys towards routers, agents and operators.
+	TLS *TLS `yaml:"tls"`
+	// InsecureLoopback turns TLS between processes off; all addresses must be loopback then.
+	InsecureLoopback bool `yaml:"insecure_loopback"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// ShutdownLimitMs is the longest that a shutdown waits for requests in progress; ten minutes when zero.
@@ -72,12 +100,18 @@
 	}
 	c.name("name", r.Name)
 	c.name("place", r.Place)
-	c.address("listen", r.Listen)
+	c.listen("listen", r.Listen)
+	if r.ControlListen != "" {
+		c.listen("control_listen", r.ControlListen)
+	}
 	c.address("log", r.Log)
 	c.address("vms", r.VMs)
-	if r.SubsetDegree < 0 || r.SubsetDegree > maxSubsetDegree {
-		c.fail("subset_degree", strconv.Itoa(r.SubsetDegree), "a whole number from 0 to "+strconv.Itoa(maxSubsetDegree))
+	c.number("subset_degree", r.SubsetDegree, 0, maxSubsetDegree)
+	c.auth(&r.CallerAuth)
+	if r.CallerTLS != nil {
+		c.keyPair("caller_tls", *r.CallerTLS)
 	}
+	c.security(r.TLS, r.InsecureLoopback)
 	c.format(r.LogFormat)
 	c.limit(&r.ShutdownLimitMs)
 	return r, c.result()
@@ -93,77 +127,13 @@
 	c.name("server", a.Server)
 	c.name("service", a.Service)
 	c.name("place", a.Place)
-	if a.Kind != service.Model && a.Kind != service.Plain {
-		c.fail("kind", string(a.Kind), "model or plain")
-	}
+	c.kind(a.Kind)
 	c.address("server_address", a.ServerAddress)
-	if a.Slots < 1 || a.Slots > maxSlots {
-		c.fail("slots", strconv.Itoa(a.Slots), "a whole number from 1 to "+strconv.Itoa(maxSlots))
-	}
-	c.address("listen", a.Listen)
+	c.number("slots", a.Slots, 1, maxSlots)
+	c.listen("listen", a.Listen)
 	c.address("log", a.Log)
+	c.security(a.TLS, a.InsecureLoopback)
 	c.format(a.LogFormat)
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
 }
-
-// checker keeps the first fault of a settings file.
-type checker struct {
-	doc *document.Document
-	// err is the first fault found; later ones are dropped.
-	err *document.FieldError
-}
-
-func read(file string, v any) (*checker, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("read settings: %w", err)
-	}
-	doc, err := document.Parse(file, data, v)
-	if err != nil {
-		return nil, err
-	}
-	return &checker{doc: doc}, nil
-}
-
-func (c *checker) fail(field, value, allowed string) {
-	if c.err == nil {
-		c.err = c.doc.Fault(value, allowed, field)
-	}
-}
-
-func (c *checker) result() error {
-	if c.err == nil {
-		return nil
-	}
-	return c.err
-}
-
-func (c *checker) name(field, value string) {
-	if !site.ValidName(value) {
-		c.fail(field, value, "lower-case letters, digits and hyphens, at most 63")
-	}
-}
-
-func (c *checker) address(field, value string) {
-	if _, err := netip.ParseAddrPort(value); err != nil {
-		c.fail(field, value, "an IP address and a port")
-	}
-}
-
-func (c *checker) format(value string) {
-	switch value {
-	case "", "text", "logfmt", "json":
-	default:
-		c.fail("log_format", value, "text, logfmt or json")
-	}
-}
-
-func (c *checker) limit(m *clock.Millis) {
-	if *m == 0 {
-		*m = defaultShutdownLimit
-	}
-	if *m < 0 || *m > maxShutdownLimit {
-		c.fail("shutdown_limit_ms", strconv.FormatInt(int64(*m), 10), "a whole number from 1 to 86400000")
-	}
-}
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"reflect"
 	"regexp"
 	"strconv"
 
@@ -54,38 +55,29 @@
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
 	if err := dec.Decode(v); err != nil {
-		return nil, syntaxError(file, err)
+		return nil, decodeError(file, &root, reflect.TypeOf(v), err)
 	}
-	if err := dec.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
-		return nil, &FieldError{File: file, Field: "document", Value: "second document", Allowed: "one document"}
+	var second yaml.Node
+	if err := dec.Decode(&second); !errors.Is(err, io.EOF) {
+		return nil, &FieldError{
+			File: file, Line: second.Line, Field: "document", Value: "second document", Allowed: "one document",
+		}
 	}
 	return &Document{file: file, root: &root}, nil
 }
 
-var (
-	linePattern    = regexp.MustCompile(`line (\d+): `)
-	unknownPattern = regexp.MustCompile(`field (\S+) not found`)
-	valuePattern   = regexp.MustCompile("cannot unmarshal \\S+ `([^`]*)` into (\\S+)")
-)
+var linePattern = regexp.MustCompile(`line (\d+): `)
 
-func syntaxError(file string, err error) error {
-	e := &FieldError{File: file, Field: "document", Allowed: "a YAML document of the documented fields"}
-	text := err.Error()
-	if m := linePattern.FindStringSubmatch(text); m != nil {
-		e.Line, _ = strconv.Atoi(m[1])
-	}
-	if m := unknownPattern.FindStringSubmatch(text); m != nil {
-		e.Field = m[1]
-		e.Value = m[1]
-		e.Allowed = "only documented fields"
-		return e
+// syntaxError reports data that is no YAML document.
+func syntaxError(file string, err error) *FieldError {
+	e := &FieldError{File: file, Field: "document", Value: err.Error(), Allowed: "a YAML document of the documented fields"}
+	if errors.Is(err, io.EOF) {
+		e.Line = 1
+		e.Value = ""
 	}
-	if m := valuePattern.FindStringSubmatch(text); m != nil {
-		e.Value = m[1]
-		e.Allowed = "a value of type " + m[2]
-		return e
+	if m := linePattern.FindStringSubmatch(e.Value); m != nil {
+		e.Line, _ = strconv.Atoi(m[1])
 	}
-	e.Value = text
 	return e
 }
 
--- a/pkg/site/check.go
+++ b/pkg/site/check.go
@@ -110,12 +110,17 @@
 
 func (s *Site) checkTeams(c *checker) {
 	seen := make(map[string]bool, len(s.teams))
+	tokens := make(map[string]bool, len(s.teams))
 	for i, t := range s.teams {
 		c.name(seen, t.Name(), "teams", i, "name")
 		c.number(t.Weight(), 1, maxWeight, "teams", i, "weight")
 		if t.TokenSHA256() != "" && !tokenPattern.MatchString(t.TokenSHA256()) {
 			c.fail(t.TokenSHA256(), "64 lower-case hex digits", "teams", i, "token_sha256")
 		}
+		if t.TokenSHA256() != "" && tokens[t.TokenSHA256()] {
+			c.fail(t.TokenSHA256(), "a digest that no other team has", "teams", i, "token_sha256")
+		}
+		tokens[t.TokenSHA256()] = true
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -65,6 +65,7 @@
 slots: $slots
 listen: $agent
 log: $platform
+insecure_loopback: true
 shutdown_limit_ms: 10000
 YAML
   if [ "$kind" = model ]; then
@@ -88,6 +89,7 @@
 listen: 127.0.0.1:2503$i
 log: $platform
 vms: $platform
+insecure_loopback: true
 shutdown_limit_ms: 10000
 YAML
   start "router-$i" bin/laburnumring router --settings "$out/router-$i.yaml"
