--- a/examples/docelar/main.go
+++ b/examples/docelar/main.go
@@ -37,10 +37,11 @@
 func build() *site.Site {
 	s := site.New("docelar")
 	for _, name := range []string{"chain-north", "chain-south", "bakery", "catalogue"} {
-		s.AddTeams(team.New(name, team.Options{Weight: largeWeight}))
+		s.AddTeams(team.New(name, team.Options{Weight: largeWeight, TokenSHA256: digest(name)}))
 	}
 	for i := range smallTeams {
-		s.AddTeams(team.New(fmt.Sprintf("shop-%d", i+1), team.Options{}))
+		name := fmt.Sprintf("shop-%d", i+1)
+		s.AddTeams(team.New(name, team.Options{TokenSHA256: digest(name)}))
 	}
 	places := []string{"recife", "fortaleza", "salvador"}
 	for _, name := range places {
@@ -61,6 +62,12 @@
 	return s
 }
 
+// digest returns the digest of a team's example token. A real program holds the digests that "laburnumring keys
+// token" printed, and no token.
+func digest(name string) string {
+	return team.TokenDigest("example token of " + name)
+}
+
 // addServers adds n servers of a service, place by place in turn, on loopback addresses.
 func addServers(s *site.Site, name string, n int, places []string) {
 	base := 23000
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/admission"
 	"github.com/laburnumring/laburnumring/internal/board"
@@ -17,7 +20,9 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
 	"github.com/laburnumring/laburnumring/internal/ticket"
@@ -45,6 +50,14 @@
 	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
+	// TLS is used towards other agents; nil means no TLS, which is for loopback only.
+	TLS *tls.Config
+	// Gate lets routers, agents and operators in; nil lets in loopback only.
+	Gate *keys.Gate
+	// Refusals takes what is refused for security's sake; a recorder of the agent's own when nil.
+	Refusals *refusal.Recorder
+	// Collectors are added to the agent's metrics.
+	Collectors []prometheus.Collector
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 }
@@ -103,6 +116,9 @@
 
 // New returns an agent that does nothing until Run.
 func New(o Options) (*Agent, error) {
+	if o.Refusals == nil {
+		o.Refusals = refusal.New(o.Logger)
+	}
 	b := board.New()
 	a := &Agent{
 		o:        o,
@@ -121,6 +137,8 @@
 	})
 	a.admission.SetServerUp(false)
 	a.counter.Register(a.metrics.registry, "peer")
+	a.metrics.registry.MustRegister(o.Refusals)
+	a.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(a.metrics.registry, "platform")
 	a.follower = follower.New(follower.Options{
 		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: func() {},
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -11,6 +11,8 @@
 	"github.com/laburnumring/laburnumring/internal/admission"
 	"github.com/laburnumring/laburnumring/internal/answer"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -22,27 +24,30 @@
 
 func (a *Agent) routes() http.Handler {
 	m := mux.NewRouter()
-	m.HandleFunc(peer.RPCPath, func(w http.ResponseWriter, r *http.Request) {
-		peer.Serve(w, r, a.rpc, a.counter)
-	})
-	m.HandleFunc(peer.StartPath, a.serveStart).Methods(http.MethodPost)
-	m.HandleFunc(peer.ReattachPath, a.serveReattach).Methods(http.MethodPost)
+	allow := func(h http.HandlerFunc, roles ...keys.Role) http.Handler { return a.o.Gate.Allow(h, roles...) }
+	m.Handle(peer.RPCPath, allow(a.serveRPC, keys.Router, keys.Agent))
+	m.Handle(peer.StartPath, allow(a.serveStart, keys.Router)).Methods(http.MethodPost)
+	m.Handle(peer.ReattachPath, allow(a.serveReattach, keys.Router)).Methods(http.MethodPost)
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.Handle("/metrics", promhttp.HandlerFor(a.metrics.registry, promhttp.HandlerOpts{}))
-	return m
+	return httpserve.Guard{MaxBody: maxMessage, Refusals: a.o.Refusals}.Wrap(m)
+}
+
+func (a *Agent) serveRPC(w http.ResponseWriter, r *http.Request) {
+	peer.Serve(w, r, a.rpc, a.counter)
 }
 
 // serveStart starts a request under an offer and streams its answer.
 func (a *Agent) serveStart(w http.ResponseWriter, r *http.Request) {
 	var m peer.StartMessage
-	if err := cbor.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&m); err != nil {
+	if err := cbor.NewDecoder(r.Body).Decode(&m); err != nil {
 		http.Error(w, "bad start message", http.StatusBadRequest)
 		return
 	}
 	out := answer.NewWriter(w, m.Start.Request, m.Start.Attempt, m.Start.ResumeFrom)
 	s, err := a.start(m)
 	if err != nil {
-		_ = out.End(refusal(err))
+		_ = out.End(refusedEnd(err))
 		return
 	}
 	a.deliver(w, r, out, s)
@@ -51,7 +56,7 @@
 // serveReattach streams the rest of an answer whose stream was cut.
 func (a *Agent) serveReattach(w http.ResponseWriter, r *http.Request) {
 	var m peer.ReattachMessage
-	if err := cbor.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&m); err != nil {
+	if err := cbor.NewDecoder(r.Body).Decode(&m); err != nil {
 		http.Error(w, "bad reattach message", http.StatusBadRequest)
 		return
 	}
@@ -84,8 +89,8 @@
 // refusalRetryAfter is when a router should try a refused start again.
 const refusalRetryAfter = 200 * clock.Millis(1)
 
-// refusal is the end of an attempt that the agent did not start.
-func refusal(err error) answer.End {
+// refusedEnd is the end of an attempt that the agent did not start.
+func refusedEnd(err error) answer.End {
 	e := answer.End{Outcome: outcome.Unknown, Reason: "refused", RetryAfter: refusalRetryAfter}
 	var refused *admission.RefusedError
 	if !errors.As(err, &refused) {
--- /dev/null
+++ b/internal/agent/security_test.go
@@ -0,0 +1,92 @@
+package agent_test
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/laburnumring/laburnumring/internal/agent"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/traffic"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
+	"github.com/laburnumring/laburnumring/pkg/server"
+)
+
+// secureAgent serves an agent that is not running, for holders of any role of the trial's authority.
+func secureAgent(t *testing.T, trial *keys.Trial) string {
+	t.Helper()
+	a, err := agent.New(agent.Options{
+		Server:     server.New("model-1", server.Options{}),
+		Clock:      wallclock.New(),
+		Logger:     event.NewLogger(io.Discard, "", "agent"),
+		LogTraffic: &traffic.Counter{},
+		Gate:       keys.NewGate(true, nil),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := issue(t, trial, keys.Agent, "model-1").Server(true, keys.Router, keys.Agent, keys.Operator)
+	srv := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(tls.NewListener(ln, cfg)) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	return ln.Addr().String()
+}
+
+func issue(t *testing.T, trial *keys.Trial, role keys.Role, name string) *keys.Keys {
+	t.Helper()
+	o, err := trial.Issue(keys.Identity{Role: role, Name: name}, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := keys.Load(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// TestRolesOfCalls calls each of the agent's paths as each role. 405 and 400 come from behind the gate.
+func TestRolesOfCalls(t *testing.T) {
+	trial, err := keys.NewTrial(t.TempDir(), time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := secureAgent(t, trial)
+	tests := []struct {
+		path   string
+		status map[keys.Role]int
+	}{
+		{peer.RPCPath, map[keys.Role]int{keys.Router: 405, keys.Agent: 405, keys.Operator: 403}},
+		{peer.StartPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
+		{peer.ReattachPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
+	}
+	for _, tt := range tests {
+		for role, want := range tt.status {
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: issue(t, trial, role, "x").Client(keys.Agent)}}
+			resp, err := client.Post("https://"+address+tt.path, "", strings.NewReader("?"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			client.CloseIdleConnections()
+			if resp.StatusCode != want {
+				t.Errorf("%s as %s: status %d, want %d", tt.path, role, resp.StatusCode, want)
+			}
+		}
+	}
+	team := &http.Client{Transport: &http.Transport{TLSClientConfig: issue(t, trial, keys.Team, "x").Client(keys.Agent)}}
+	if resp, err := team.Get("https://" + address + "/healthz"); err == nil {
+		_ = resp.Body.Close()
+		t.Error("a caller's certificate was let in")
+	}
+}
--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/settings"
@@ -27,6 +28,11 @@
 		if err != nil {
 			return rejected(env, "agent", err)
 		}
+		logger := event.NewLogger(env.stderr, s.LogFormat, "agent")
+		sec, err := newSecurity(logger, s.TLS)
+		if err != nil {
+			return err
+		}
 		bytes := &traffic.Counter{}
 		a, err := agent.New(agent.Options{
 			Server: server.New(s.Server, server.Options{
@@ -38,13 +44,22 @@
 			Log:           platform.NewLog(s.Log, bytes),
 			Backend:       newBackend(s),
 			LogTraffic:    bytes,
-			Logger:        event.NewLogger(env.stderr, s.LogFormat, "agent"),
+			Logger:        logger,
+			TLS:           sec.client(keys.Agent),
+			Gate:          sec.gate,
+			Refusals:      sec.refusals,
+			Collectors:    sec.collectors(),
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
 		})
 		if err != nil {
 			return err
 		}
-		return httpserve.Run(ctx, s.Listen, a.Handler(), a.Run)
+		return httpserve.Serve(ctx, sec.watched(a.Run), httpserve.Listener{
+			Address:  s.Listen,
+			Handler:  a.Handler(),
+			TLS:      sec.server(keys.Router, keys.Agent, keys.Operator),
+			Refusals: sec.refusals,
+		})
 	}
 }
 
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/pkg/document"
 )
 
@@ -38,7 +39,8 @@
 	app.ErrorWriter(stderr)
 	run := make(map[string]func(context.Context) error)
 	for _, register := range []func(*kingpin.Application, *environment) (string, func(context.Context) error){
-		registerRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow, registerVersion,
+		registerRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow,
+		registerKeysAuthority, registerKeysIssue, registerKeysToken, registerVersion,
 	} {
 		name, f := register(app, env)
 		run[name] = f
@@ -57,7 +59,8 @@
 	}
 	fmt.Fprintln(stderr, "laburnumring:", err)
 	var field *document.FieldError
-	if errors.As(err, &field) {
+	var file *keys.FileError
+	if errors.As(err, &field) || errors.As(err, &file) {
 		return exitUsage
 	}
 	return exitFailed
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/settings"
@@ -23,6 +26,15 @@
 		if err != nil {
 			return rejected(env, "router", err)
 		}
+		logger := event.NewLogger(env.stderr, s.LogFormat, "router")
+		sec, err := newSecurity(logger, s.TLS)
+		if err != nil {
+			return err
+		}
+		callers, err := callerTLS(sec, s.CallerTLS)
+		if err != nil {
+			return err
+		}
 		bytes := &traffic.Counter{}
 		r := router.New(router.Options{
 			Name:          s.Name,
@@ -33,10 +45,46 @@
 			Log:           platform.NewLog(s.Log, bytes),
 			VMs:           platform.NewVMs(s.VMs, bytes),
 			LogTraffic:    bytes,
-			Logger:        event.NewLogger(env.stderr, s.LogFormat, "router"),
+			Logger:        logger,
+			TLS:           sec.client(keys.Agent),
+			CallerAuth:    callerMode(s.CallerAuth),
+			Gate:          sec.gate,
+			Refusals:      sec.refusals,
+			Collectors:    sec.collectors(),
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
 			Rand:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		})
-		return httpserve.Run(ctx, s.Listen, r.Handler(), r.Run)
+		listeners := []httpserve.Listener{{
+			Address: s.Listen, Handler: r.Handler(), TLS: callers, Refusals: sec.refusals,
+		}}
+		if s.ControlListen != "" {
+			listeners = append(listeners, httpserve.Listener{
+				Address:  s.ControlListen,
+				Handler:  r.ControlHandler(),
+				TLS:      sec.server(keys.Operator),
+				Refusals: sec.refusals,
+			})
+		}
+		return httpserve.Serve(ctx, sec.watched(r.Run), listeners...)
+	}
+}
+
+func callerMode(a settings.Auth) caller.Mode {
+	if a == settings.HeaderAuth {
+		return caller.Header
+	}
+	return caller.Proof
+}
+
+// callerTLS returns the configuration of the callers' listener, nil for plain HTTP. Callers without a certificate
+// are let in and need a token.
+func callerTLS(sec *security, t *settings.TLS) (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	k, err := sec.load(*t)
+	if err != nil {
+		return nil, err
 	}
+	return k.Server(false, keys.Team), nil
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,11 @@
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
+	RequestRefused      = Event{6002, log.WarnLevel, "request refused as too slow, too long or malformed"}
+	CallerUnproved      = Event{6003, log.WarnLevel, "caller's team is not proved"}
+	KeysReloaded        = Event{6004, log.InfoLevel, "keys reloaded"}
+	KeysUnusable        = Event{6005, log.ErrorLevel, "changed keys cannot be used"}
+	KeysExpiring        = Event{6006, log.WarnLevel, "certificate expires soon"}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -35,6 +40,6 @@
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
-		ConnectionUntrusted,
+		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
 	}
 }
--- /dev/null
+++ b/internal/httpserve/guard.go
@@ -0,0 +1,74 @@
+package httpserve
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/laburnumring/laburnumring/internal/refusal"
+)
+
+// DefaultBodyTimeout is the longest that a request's body may take.
+const DefaultBodyTimeout = 30 * time.Second
+
+// Guard bounds the bodies of a handler's requests.
+type Guard struct {
+	// MaxBody is the longest body in bytes.
+	MaxBody int64
+	// BodyTimeout is the longest that a body may take to arrive; DefaultBodyTimeout when zero.
+	BodyTimeout time.Duration
+	// Refusals takes requests that are refused; it may be nil.
+	Refusals *refusal.Recorder
+}
+
+// Wrap returns h with bounded bodies: reading an over-long one fails with *http.MaxBytesError, and reading a slow
+// one with an error that os.ErrDeadlineExceeded matches.
+func (g Guard) Wrap(h http.Handler) http.Handler {
+	if g.BodyTimeout == 0 {
+		g.BodyTimeout = DefaultBodyTimeout
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			rc := http.NewResponseController(w)
+			_ = rc.SetReadDeadline(time.Now().Add(g.BodyTimeout))
+			r.Body = &guardedBody{
+				ReadCloser: http.MaxBytesReader(w, r.Body, g.MaxBody),
+				rc:         rc,
+				refusals:   g.Refusals,
+				remote:     r.RemoteAddr,
+			}
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// guardedBody is a request's body that must arrive in time.
+type guardedBody struct {
+	io.ReadCloser
+	rc       *http.ResponseController
+	refusals *refusal.Recorder
+	remote   string
+	// done is set at the body's end, after which the connection has no deadline.
+	done bool
+}
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || b.done {
+		return n, err
+	}
+	b.done = true
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		b.refusals.Refuse(refusal.BodyTooLong, b.remote, err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.refusals.Refuse(refusal.BodySlow, b.remote, err)
+	case errors.Is(err, io.EOF):
+		_ = b.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -3,43 +3,127 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/laburnumring/laburnumring/internal/refusal"
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	closeTimeout      = 2 * time.Second
-	maxHeaderBytes    = 64 << 10
+	defaultHeaderTimeout = 5 * time.Second
+	idleTimeout          = 2 * time.Minute
+	closeTimeout         = 2 * time.Second
+	maxHeaderBytes       = 64 << 10
 )
 
+// Listener is one address and what is served there.
+type Listener struct {
+	// Address is an IP address and port.
+	Address string
+	// Net is an open listener to use in place of Address; it is closed at the end.
+	Net net.Listener
+	// Handler answers requests.
+	Handler http.Handler
+	// TLS is nil for plain connections.
+	TLS *tls.Config
+	// HeaderTimeout is the longest that a TLS handshake or a request's header may take; 5 seconds when zero.
+	HeaderTimeout time.Duration
+	// Refusals takes connections and requests that are refused; it may be nil.
+	Refusals *refusal.Recorder
+}
+
 // Run serves h at address while work runs. work returns when ctx ends and everything in progress is done;
 // the listener stays open until then.
 func Run(ctx context.Context, address string, h http.Handler, work func(context.Context) error) error {
-	ln, err := net.Listen("tcp", address)
+	return Serve(ctx, work, Listener{Address: address, Handler: h})
+}
+
+// Serve is Run for several listeners. None is served when one cannot be opened.
+func Serve(ctx context.Context, work func(context.Context) error, listeners ...Listener) error {
+	servers := make([]*server, 0, len(listeners))
+	for _, l := range listeners {
+		s, err := open(l)
+		if err != nil {
+			for _, s := range servers {
+				_ = s.ln.Close()
+			}
+			return err
+		}
+		servers = append(servers, s)
+	}
+	for _, s := range servers {
+		go func() { s.served <- s.srv.Serve(s.ln) }()
+	}
+	workErr := work(ctx)
+	return errors.Join(workErr, closeAll(servers))
+}
+
+func closeAll(servers []*server) error {
+	var errs []error
+	for _, s := range servers {
+		errs = append(errs, s.close())
+	}
+	return errors.Join(errs...)
+}
+
+func (l Listener) listen() (net.Listener, error) {
+	if l.Net != nil {
+		return l.Net, nil
+	}
+	ln, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return ln, nil
+}
+
+// server is one open listener.
+type server struct {
+	ln      net.Listener
+	srv     *http.Server
+	watcher *watcher
+	// served gets the result of serving.
+	served chan error
+}
+
+func open(l Listener) (*server, error) {
+	if l.HeaderTimeout == 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	ln, err := l.listen()
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, err
+	}
+	if l.TLS != nil {
+		ln = tls.NewListener(ln, l.TLS)
 	}
+	w := newWatcher(l.Refusals)
 	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
+		Handler:           w.wrap(l.Handler),
+		ReadHeaderTimeout: l.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          w.errorLog(),
+		ConnState:         w.connState,
+		ConnContext:       w.connContext,
 	}
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(ln) }()
-	workErr := work(ctx)
+	return &server{ln: ln, srv: srv, watcher: w, served: make(chan error, 1)}, nil
+}
+
+func (s *server) close() error {
 	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	if err := srv.Shutdown(closing); err != nil {
-		_ = srv.Close()
+	if err := s.srv.Shutdown(closing); err != nil {
+		_ = s.srv.Close()
+	} else {
+		s.watcher.open.Wait()
 	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		return errors.Join(workErr, err)
+	if err := <-s.served; !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
-	return workErr
+	return nil
 }
--- /dev/null
+++ b/internal/httpserve/httpserve_test.go
@@ -0,0 +1,161 @@
+package httpserve_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/refusal"
+)
+
+const (
+	// short ends what would else last long; no verdict depends on how much is done in it.
+	short   = 50 * time.Millisecond
+	maxBody = 100
+)
+
+// serve runs a server that answers with the error of reading the body until f returns. It returns the log and the
+// metrics as they are after the shutdown.
+func serve(t *testing.T, cfg *tls.Config, f func(address string)) (string, prometheus.Collector) {
+	t.Helper()
+	var out bytes.Buffer
+	rec := refusal.New(event.NewLogger(&out, "logfmt", "test"))
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "read: %v", err)
+	})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = httpserve.Serve(context.Background(), func(context.Context) error {
+		f(ln.Addr().String())
+		return nil
+	}, httpserve.Listener{
+		Net:           ln,
+		Handler:       httpserve.Guard{MaxBody: maxBody, BodyTimeout: short, Refusals: rec}.Wrap(h),
+		TLS:           cfg,
+		HeaderTimeout: short,
+		Refusals:      rec,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out.String(), rec
+}
+
+// send writes text on a new connection and returns all that comes back until the server ends the connection.
+func send(t *testing.T, address, text string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, text)
+	got, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(got)
+}
+
+// TestRefusals sends what must be refused, and holds the counts and the log to it.
+func TestRefusals(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+	tests := []struct {
+		name, send string
+		// answer is a part of the response; empty when the connection ends without one.
+		answer string
+		reason refusal.Reason
+		event  string
+	}{
+		{"whole request", head + "Content-Length: 2\r\n\r\nab", "read: <nil>", "", ""},
+		{"slow header", head, "", refusal.Header, "event=6002"},
+		{"malformed header", "POST\r\n\r\n", "400 Bad Request", refusal.Header, "event=6002"},
+		{"over-long header", head + "X: " + strings.Repeat("x", 80<<10) + "\r\n\r\n", "431 Request Header", refusal.Header, "event=6002"},
+		{"slow body", head + "Content-Length: 2\r\n\r\na", "i/o timeout", refusal.BodySlow, "event=6002"},
+		{"over-long body", head + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), "body too large", refusal.BodyTooLong, "event=6002"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got string
+			out, rec := serve(t, nil, func(address string) { got = send(t, address, tt.send) })
+			if !strings.Contains(got, tt.answer) || (tt.answer == "" && got != "") {
+				t.Errorf("answer %q, want %q in it", got, tt.answer)
+			}
+			checkCounts(t, rec, tt.reason)
+			if !strings.Contains(out, tt.event) || (tt.event == "" && out != "") {
+				t.Errorf("log %q, want %q in it", out, tt.event)
+			}
+		})
+	}
+}
+
+// checkCounts expects one refusal for reason and none for any other.
+func checkCounts(t *testing.T, rec prometheus.Collector, reason refusal.Reason) {
+	t.Helper()
+	want := "# HELP laburnumring_refused_total Connections and requests refused for security's sake, by reason.\n" +
+		"# TYPE laburnumring_refused_total counter\n"
+	for _, r := range []refusal.Reason{
+		refusal.BodySlow, refusal.BodyTooLong, refusal.Credentials, refusal.Handshake, refusal.Header, refusal.Role,
+	} {
+		n := 0
+		if r == reason {
+			n = 1
+		}
+		want += fmt.Sprintf("laburnumring_refused_total{reason=%q} %d\n", r, n)
+	}
+	if err := testutil.CollectAndCompare(rec, strings.NewReader(want)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestHandshakeRefusal speaks plain HTTP and TLS without a certificate to a listener that demands one.
+func TestHandshakeRefusal(t *testing.T) {
+	trial, err := keys.NewTrial(t.TempDir(), time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := trial.Issue(keys.Identity{Role: keys.Agent, Name: "a"}, time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := keys.Load(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clients := map[string]func(address string){
+		"plain": func(address string) { send(t, address, "GET / HTTP/1.1\r\n\r\n") },
+		"no certificate": func(address string) {
+			conn, err := tls.Dial("tcp", address, &tls.Config{InsecureSkipVerify: true})
+			if err == nil {
+				_, err = conn.Read(make([]byte, 1))
+				_ = conn.Close()
+			}
+			if err == nil {
+				t.Error("a client without a certificate was let in")
+			}
+		},
+	}
+	for name, client := range clients {
+		t.Run(name, func(t *testing.T) {
+			out, rec := serve(t, k.Server(true, keys.Router), client)
+			checkCounts(t, rec, refusal.Handshake)
+			if !strings.Contains(out, "event=6001") {
+				t.Errorf("log %q has no event 6001", out)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/httpserve/watcher.go
@@ -0,0 +1,97 @@
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/laburnumring/laburnumring/internal/refusal"
+)
+
+// errHeader is the cause of a refused header, which net/http does not tell.
+var errHeader = errors.New("the header was too slow, too long or malformed")
+
+// handshakePrefix begins what net/http logs of a failed handshake.
+const handshakePrefix = "http: TLS handshake error from "
+
+// watcher finds refusals that net/http makes by itself.
+type watcher struct {
+	refusals *refusal.Recorder
+	// open counts connections whose end was not yet seen.
+	open sync.WaitGroup
+
+	mu sync.Mutex
+	// unanswered counts, for each open connection, headers that began to arrive and did not reach the handler.
+	unanswered map[net.Conn]int
+}
+
+func newWatcher(r *refusal.Recorder) *watcher {
+	return &watcher{refusals: r, unanswered: make(map[net.Conn]int)}
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func (w *watcher) connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// wrap returns h and marks that a header arrived whole.
+func (w *watcher) wrap(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+			w.add(c, -1)
+		}
+		h.ServeHTTP(rw, r)
+	})
+}
+
+// connState counts headers that began to arrive; net/http reports StateActive after each attempt to read one.
+func (w *watcher) connState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		w.open.Add(1)
+	case http.StateActive:
+		w.add(c, 1)
+	case http.StateClosed, http.StateHijacked:
+		defer w.open.Done()
+		if w.forget(c) > 0 && state == http.StateClosed {
+			w.refusals.Refuse(refusal.Header, c.RemoteAddr().String(), errHeader)
+		}
+	default:
+	}
+}
+
+func (w *watcher) add(c net.Conn, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unanswered[c] += n
+}
+
+func (w *watcher) forget(c net.Conn) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := w.unanswered[c]
+	delete(w.unanswered, c)
+	return n
+}
+
+// errorLog returns a logger that turns net/http's messages of failed handshakes into refusals.
+func (w *watcher) errorLog() *log.Logger {
+	return log.New(w, "", 0)
+}
+
+// Write takes one message of net/http.
+func (w *watcher) Write(p []byte) (int, error) {
+	text, ok := strings.CutPrefix(strings.TrimSpace(string(p)), handshakePrefix)
+	if !ok {
+		return len(p), nil
+	}
+	remote, problem, _ := strings.Cut(text, ": ")
+	w.refusals.Refuse(refusal.Handshake, remote, errors.New(problem))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,216 @@
+// Package keys holds a process's certificate and authority, read again when their files change.
+package keys
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Options are the settings of Keys.
+type Options struct {
+	// Certificate and Key are the process's own PEM files.
+	Certificate string
+	Key         string
+	// Authority is the PEM file of the certificates that sign those of the other side; without one, no
+	// certificate is asked for and none is trusted.
+	Authority string
+	// Now returns the wall time, by which certificates expire; time.Now when nil.
+	Now func() time.Time
+}
+
+// Keys are one process's keys. They are safe for concurrent use.
+type Keys struct {
+	o Options
+
+	mu sync.RWMutex
+	// current is replaced as a whole and never changed.
+	current *material
+}
+
+// material is what one reading of the files gave.
+type material struct {
+	// raw holds the files' bytes, to tell a change.
+	raw  [3][]byte
+	cert tls.Certificate
+	// roots is nil without an authority.
+	roots *x509.CertPool
+}
+
+// Load reads the files. Its errors are of type *FileError.
+func Load(o Options) (*Keys, error) {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	m, err := o.read()
+	if err != nil {
+		return nil, err
+	}
+	return &Keys{o: o, current: m}, nil
+}
+
+func (o Options) read() (*material, error) {
+	m := &material{}
+	for i, file := range []string{o.Certificate, o.Key, o.Authority} {
+		if file == "" {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, &FileError{File: file, Problem: err.Error()}
+		}
+		m.raw[i] = data
+	}
+	cert, err := tls.X509KeyPair(m.raw[0], m.raw[1])
+	if err != nil {
+		return nil, &FileError{File: o.Certificate, Problem: err.Error()}
+	}
+	m.cert = cert
+	if o.Authority == "" {
+		return m, nil
+	}
+	m.roots = x509.NewCertPool()
+	if !m.roots.AppendCertsFromPEM(m.raw[2]) {
+		return nil, &FileError{File: o.Authority, Problem: "no certificate in PEM"}
+	}
+	return m, nil
+}
+
+// Reload reads the files again and reports whether they changed. After an error, of type *FileError, the former
+// keys stay in use.
+func (k *Keys) Reload() (bool, error) {
+	m, err := k.o.read()
+	if err != nil {
+		return false, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if slices.EqualFunc(m.raw[:], k.current.raw[:], bytes.Equal) {
+		return false, nil
+	}
+	k.current = m
+	return true, nil
+}
+
+// Watch reloads at each interval until ctx ends and calls report after a change and after an error.
+func (k *Keys) Watch(ctx context.Context, interval time.Duration, report func(error)) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		changed, err := k.Reload()
+		if changed || err != nil {
+			report(err)
+		}
+	}
+}
+
+var _ prometheus.Collector = (*Keys)(nil)
+
+func expiryDesc() *prometheus.Desc {
+	return prometheus.NewDesc("laburnumring_certificate_remaining_seconds",
+		"Time for which the process's own certificate is still valid.", nil, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (k *Keys) Describe(ch chan<- *prometheus.Desc) { ch <- expiryDesc() }
+
+// Collect implements prometheus.Collector.
+func (k *Keys) Collect(ch chan<- prometheus.Metric) {
+	ch <- prometheus.MustNewConstMetric(expiryDesc(), prometheus.GaugeValue, k.Remaining().Duration().Seconds())
+}
+
+// Remaining returns how long the process's own certificate is still valid.
+func (k *Keys) Remaining() clock.Millis {
+	return clock.FromDuration(k.material().cert.Leaf.NotAfter.Sub(k.o.Now()))
+}
+
+func (k *Keys) material() *material {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.current
+}
+
+// Server returns the configuration of a listener. With an authority, only holders of one of the roles are let in;
+// without required, those that show no certificate are let in too.
+func (k *Keys) Server(required bool, roles ...Role) *tls.Config {
+	cfg := &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		NextProtos: []string{"http/1.1"},
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return &k.material().cert, nil
+		},
+	}
+	if k.o.Authority == "" {
+		return cfg
+	}
+	cfg.ClientAuth = tls.RequestClientCert
+	if required {
+		cfg.ClientAuth = tls.RequireAnyClientCert
+	}
+	cfg.VerifyConnection = func(s tls.ConnectionState) error {
+		if !required && len(s.PeerCertificates) == 0 {
+			return nil
+		}
+		return k.verify(s.PeerCertificates, x509.ExtKeyUsageClientAuth, roles)
+	}
+	return cfg
+}
+
+// Client returns the configuration of connections to holders of one of the roles. The other side is known by its
+// role and not by its address, which says nothing of a VM that was replaced.
+func (k *Keys) Client(roles ...Role) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &k.material().cert, nil
+		},
+		// VerifyConnection checks the certificate against the authority in force at that moment.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			return k.verify(s.PeerCertificates, x509.ExtKeyUsageServerAuth, roles)
+		},
+	}
+}
+
+// verify checks a chain against the authority in force. Its errors are of type *UntrustedError.
+func (k *Keys) verify(chain []*x509.Certificate, usage x509.ExtKeyUsage, roles []Role) error {
+	m := k.material()
+	if len(chain) == 0 || m.roots == nil {
+		return &UntrustedError{Problem: "there is none"}
+	}
+	id, ok := IdentityOf(chain[0])
+	if !ok {
+		return &UntrustedError{Problem: "it names no role"}
+	}
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	_, err := chain[0].Verify(x509.VerifyOptions{
+		Roots:         m.roots,
+		Intermediates: between,
+		CurrentTime:   k.o.Now(),
+		KeyUsages:     []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return &UntrustedError{Identity: id, Problem: err.Error()}
+	}
+	if !slices.Contains(roles, id.Role) {
+		return &UntrustedError{Identity: id, Problem: "the role may not connect here"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keys/trial.go
@@ -0,0 +1,147 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Names of the authority's files in a directory of trial keys.
+const (
+	AuthorityFile    = "authority.crt"
+	AuthorityKeyFile = "authority.key"
+)
+
+const (
+	// keyFileMode keeps key files from other users.
+	keyFileMode = 0o600
+	keyDirMode  = 0o700
+	serialBits  = 120
+	// clockSkew is how far behind the maker's clock a reader's may be.
+	clockSkew = time.Minute
+)
+
+// Trial makes certificates for trials and tests of a site; a production site uses its own authority.
+type Trial struct {
+	// dir holds the files.
+	dir string
+	// now is the time from which certificates are valid.
+	now  time.Time
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewTrial makes an authority that is valid for life from now on and writes its files to dir.
+func NewTrial(dir string, now time.Time, life time.Duration) (*Trial, error) {
+	if err := os.MkdirAll(dir, keyDirMode); err != nil {
+		return nil, fmt.Errorf("make key directory: %w", err)
+	}
+	t := &Trial{dir: dir, now: now}
+	template, key, err := t.template("laburnumring trial authority", life)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	t.key = key
+	t.cert = template
+	der, err := t.write(template, key, AuthorityFile, AuthorityKeyFile)
+	if err != nil {
+		return nil, err
+	}
+	t.cert, err = x509.ParseCertificate(der)
+	return t, err
+}
+
+// OpenTrial reads the authority that NewTrial wrote to dir.
+func OpenTrial(dir string, now time.Time) (*Trial, error) {
+	k, err := Load(Options{
+		Certificate: filepath.Join(dir, AuthorityFile),
+		Key:         filepath.Join(dir, AuthorityKeyFile),
+	})
+	if err != nil {
+		return nil, err
+	}
+	key, ok := k.current.cert.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return nil, &FileError{File: filepath.Join(dir, AuthorityKeyFile), Problem: "no ECDSA key"}
+	}
+	return &Trial{dir: dir, now: now, cert: k.current.cert.Leaf, key: key}, nil
+}
+
+// Issue makes a certificate for id that is valid for life and writes ROLE-NAME.crt and ROLE-NAME.key. It returns
+// the options to load them with.
+func (t *Trial) Issue(id Identity, life time.Duration) (Options, error) {
+	template, key, err := t.template(string(id.Role)+" "+id.Name, life)
+	if err != nil {
+		return Options{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	template.URIs = []*url.URL{id.URI()}
+	base := string(id.Role) + "-" + id.Name
+	if _, err := t.write(template, key, base+".crt", base+".key"); err != nil {
+		return Options{}, err
+	}
+	return Options{
+		Certificate: filepath.Join(t.dir, base+".crt"),
+		Key:         filepath.Join(t.dir, base+".key"),
+		Authority:   filepath.Join(t.dir, AuthorityFile),
+	}, nil
+}
+
+func (t *Trial) template(name string, life time.Duration) (*x509.Certificate, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, fmt.Errorf("make key: %w", err)
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, nil, fmt.Errorf("make serial number: %w", err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    t.now.Add(-clockSkew),
+		NotAfter:     t.now.Add(life),
+	}, key, nil
+}
+
+// write signs template and writes the certificate and its key. It returns the certificate's bytes.
+func (t *Trial) write(template *x509.Certificate, key *ecdsa.PrivateKey, certFile, keyFile string) ([]byte, error) {
+	der, err := x509.CreateCertificate(rand.Reader, template, t.cert, key.Public(), t.key)
+	if err != nil {
+		return nil, fmt.Errorf("sign certificate: %w", err)
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return nil, fmt.Errorf("encode key: %w", err)
+	}
+	if err := t.writePEM(keyFile, "PRIVATE KEY", secret); err != nil {
+		return nil, err
+	}
+	return der, t.writePEM(certFile, "CERTIFICATE", der)
+}
+
+// writePEM replaces a file as a whole, so that a reader never sees half of it.
+func (t *Trial) writePEM(name, kind string, data []byte) error {
+	path := filepath.Join(t.dir, name)
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
+	if err := os.WriteFile(path+".new", text, keyFileMode); err != nil {
+		return fmt.Errorf("write key file: %w", err)
+	}
+	if err := os.Rename(path+".new", path); err != nil {
+		return fmt.Errorf("write key file: %w", err)
+	}
+	return nil
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/rpc"
+	"syscall"
 	"time"
 
 	"github.com/laburnumring/laburnumring/internal/traffic"
@@ -36,10 +38,40 @@
 }
 
 func dialConn(ctx context.Context, address string, cfg *tls.Config) (net.Conn, error) {
+	d := Dialer(cfg, 0)
 	if cfg == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return d.DialContext(ctx, "tcp", address)
 	}
-	return (&tls.Dialer{Config: cfg}).DialContext(ctx, "tcp", address)
+	return (&tls.Dialer{NetDialer: d, Config: cfg}).DialContext(ctx, "tcp", address)
+}
+
+// Dialer returns a dialer for connections under cfg. Without one it reaches loopback addresses only; its error is
+// then of type *InsecureAddressError.
+func Dialer(cfg *tls.Config, timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout}
+	if cfg == nil {
+		d.Control = loopbackOnly
+	}
+	return d
+}
+
+func loopbackOnly(_, address string, _ syscall.RawConn) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || !a.Addr().Unmap().IsLoopback() {
+		return &InsecureAddressError{Address: address}
+	}
+	return nil
+}
+
+// InsecureAddressError reports an address that may not be called without TLS.
+type InsecureAddressError struct {
+	// Address is the IP address and port.
+	Address string
+}
+
+// Error implements error.
+func (e *InsecureAddressError) Error() string {
+	return fmt.Sprintf("address %s is not loopback and there is no TLS", e.Address)
 }
 
 func connect(conn net.Conn) error {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -35,7 +34,7 @@
 func newDataClient(cfg *tls.Config) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		TLSClientConfig:     cfg,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         peer.Dialer(cfg, dialTimeout).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerAgent,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,11 +15,16 @@
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/header"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 	"github.com/laburnumring/laburnumring/pkg/service"
+	"github.com/laburnumring/laburnumring/pkg/site"
+	"github.com/laburnumring/laburnumring/pkg/team"
 )
 
 // Bounds of callers' requests.
@@ -29,6 +35,9 @@
 	maxKeyLength    = 256
 	minCost         = 1
 	maxCost         = 1 << 30
+	// badRequestRetryAfter is when to send a faulty request again: not before the caller or the configuration
+	// has been corrected.
+	badRequestRetryAfter = 1 * clock.Minute
 )
 
 // Handler returns the callers' interface.
@@ -39,7 +48,7 @@
 	m.Handle("/metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
 	m.HandleFunc("/v1/services/{service}", r.serveCaller)
 	m.HandleFunc("/v1/services/{service}/{path:.*}", r.serveCaller)
-	return m
+	return httpserve.Guard{MaxBody: maxBody, BodyTimeout: r.o.BodyTimeout, Refusals: r.o.Refusals}.Wrap(m)
 }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -110,9 +119,9 @@
 	if st == nil {
 		return nil, &badRequestError{http.StatusServiceUnavailable, "no_configuration", "no configuration is held yet"}
 	}
-	t, ok := st.Team(req.Header.Get(header.Team))
-	if !ok {
-		return nil, &badRequestError{http.StatusForbidden, "team_unknown", header.Team + " names no team of this site"}
+	t, err := r.team(st, req)
+	if err != nil {
+		return nil, err
 	}
 	v := mux.Vars(req)
 	s, ok := st.Service(v["service"])
@@ -132,7 +141,22 @@
 	if err := c.readHeaders(now, req); err != nil {
 		return nil, err
 	}
-	return c, c.readBody(w, req)
+	return c, c.readBody(req)
+}
+
+// team returns the caller's team. Its errors are of type *badRequestError.
+func (r *Router) team(st *site.Site, req *http.Request) (team.Team, error) {
+	t, err := r.callers.Team(st, req)
+	var unproved *caller.Error
+	if !errors.As(err, &unproved) {
+		return t, nil
+	}
+	r.o.Refusals.Refuse(refusal.Credentials, req.RemoteAddr, unproved)
+	status := http.StatusUnauthorized
+	if unproved.Known {
+		status = http.StatusForbidden
+	}
+	return t, &badRequestError{status, unproved.Reason, unproved.Detail}
 }
 
 func (c *call) readHeaders(now clock.Millis, req *http.Request) error {
@@ -179,13 +203,16 @@
 	return nil
 }
 
-func (c *call) readBody(w http.ResponseWriter, req *http.Request) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, maxBody))
+func (c *call) readBody(req *http.Request) error {
+	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		var long *http.MaxBytesError
 		if errors.As(err, &long) {
 			return &badRequestError{http.StatusRequestEntityTooLarge, "body_too_long", "at most 8 MiB"}
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &badRequestError{http.StatusRequestTimeout, "body_slow", "the body did not arrive in time"}
+		}
 		return &badRequestError{http.StatusBadRequest, "body_cut", "the body did not arrive whole"}
 	}
 	c.body = body
@@ -216,10 +243,17 @@
 func refuseBad(w http.ResponseWriter, e *badRequestError) {
 	w.Header().Set(header.Outcome, string(outcome.NotRun))
 	w.Header().Set(header.Reason, e.Reason)
+	if e.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	after := badRequestRetryAfter
 	if e.Status == http.StatusServiceUnavailable {
-		setRetryAfter(w, clock.Second)
+		after = clock.Second
 	}
-	writeBody(w, e.Status, refusalBody{Outcome: outcome.NotRun, Reason: e.Reason, Detail: e.Detail})
+	setRetryAfter(w, after)
+	writeBody(w, e.Status, refusalBody{
+		Outcome: outcome.NotRun, Reason: e.Reason, Detail: e.Detail, RetryAfterMs: after,
+	})
 }
 
 // NewIncarnation returns a name that no other run of any process has.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,15 +9,20 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/board"
+	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/membership"
 	"github.com/laburnumring/laburnumring/internal/placement"
+	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/subset"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -41,8 +46,18 @@
 	LogTraffic *traffic.Counter
 	// Logger takes events.
 	Logger *event.Logger
-	// TLS is used towards agents; nil means no TLS.
+	// TLS is used towards agents; nil means no TLS, which is for loopback only.
 	TLS *tls.Config
+	// CallerAuth says what proves a caller's team; caller.Proof when zero.
+	CallerAuth caller.Mode
+	// Gate lets operators in at the control interface; nil lets in loopback only.
+	Gate *keys.Gate
+	// Refusals takes what is refused for security's sake; a recorder of the router's own when nil.
+	Refusals *refusal.Recorder
+	// Collectors are added to the router's metrics.
+	Collectors []prometheus.Collector
+	// BodyTimeout is the longest that a caller's body may take to arrive; 30 seconds when zero.
+	BodyTimeout time.Duration
 	// ShutdownLimit is the longest that a shutdown waits for requests in progress.
 	ShutdownLimit time.Duration
 	// Rand makes the router's random choices; it is used under the router's lock.
@@ -67,6 +82,7 @@
 	data    *http.Client
 	// follower keeps config up to date.
 	follower *follower.Follower
+	callers  *caller.Authenticator
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -93,6 +109,9 @@
 
 // New returns a router that does nothing until Run.
 func New(o Options) *Router {
+	if o.Refusals == nil {
+		o.Refusals = refusal.New(o.Logger)
+	}
 	b := board.New()
 	r := &Router{
 		o:          o,
@@ -100,6 +119,7 @@
 		counter:    &traffic.Counter{},
 		metrics:    newMetrics(),
 		data:       newDataClient(o.TLS),
+		callers:    caller.New(o.CallerAuth),
 		board:      b,
 		config:     configuration.New(b),
 		membership: membership.New(b),
@@ -112,6 +132,8 @@
 		calls:  make(map[string]*call),
 	}
 	r.counter.Register(r.metrics.registry, "peer")
+	r.metrics.registry.MustRegister(o.Refusals)
+	r.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(r.metrics.registry, "platform")
 	r.follower = follower.New(follower.Options{
 		Log: o.Log, Logger: o.Logger, Mu: &r.mu, Config: r.config, Live: r.configured,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,11 +51,11 @@
 	if err != nil {
 		return err.Error()
 	}
-	return print(s)
+	return listing(s)
 }
 
-// print lists the fields that are not zero, so that a new setting changes no other test's output.
-func print(s any) string {
+// listing names the fields that are not zero, so that a new setting changes no other test's output.
+func listing(s any) string {
 	var out strings.Builder
 	v := reflect.ValueOf(s)
 	for i := range v.NumField() {
--- a/internal/standin/commands/commands.go
+++ b/internal/standin/commands/commands.go
@@ -106,6 +106,7 @@
 	cmd.Flag("plain-service", "The plain service to call.").StringVar(&o.PlainService)
 	cmd.Flag("plain-server", "Address of a plain server to ask for its runs; may be repeated.").StringsVar(&o.PlainServers)
 	cmd.Flag("team", "A team to call as; may be repeated.").Required().StringsVar(&o.Teams)
+	cmd.Flag("token", "A team's bearer token; repeated in the order of the teams.").StringsVar(&o.Tokens)
 	cmd.Flag("requests", "How many requests to send.").Default("300").IntVar(&o.Requests)
 	cmd.Flag("concurrency", "How many requests to send at once.").Default("16").IntVar(&o.Concurrency)
 	cmd.Flag("max-tokens", "Longest answer asked for.").Default("40").IntVar(&o.MaxTokens)
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -34,6 +34,8 @@
 	PlainServers []string
 	// Teams are the teams to call as, in turn.
 	Teams []string
+	// Tokens are the teams' bearer tokens, in the order of Teams; without any, teams are only named.
+	Tokens []string
 	// Requests is how many requests are sent and Concurrency how many at once.
 	Requests    int
 	Concurrency int
@@ -150,7 +152,7 @@
 		return
 	}
 	req.GetBody = nil
-	req.Header.Set(header.Team, team)
+	l.identify(req, team)
 	if l.o.DeadlineMs > 0 {
 		req.Header.Set(header.Deadline, fmt.Sprint(l.o.DeadlineMs))
 	}
@@ -165,6 +167,16 @@
 	l.ended[body] = append(l.ended[body], o)
 }
 
+// identify says which team sends the request.
+func (l *Load) identify(req *http.Request, team string) {
+	i := slices.Index(l.o.Teams, team)
+	if i >= 0 && i < len(l.o.Tokens) {
+		req.Header.Set("Authorization", "Bearer "+l.o.Tokens[i])
+		return
+	}
+	req.Header.Set(header.Team, team)
+}
+
 // receive sends a request and returns the answer and how the caller understands its end.
 func (l *Load) receive(req *http.Request) (string, outcome.Outcome) {
 	resp, err := l.hc.Do(req)
--- a/pkg/team/team.go
+++ b/pkg/team/team.go
@@ -1,6 +1,11 @@
 // Package team describes the teams that share a site's capacity.
 package team
 
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
 // Options are the settings of a Team.
 type Options struct {
 	// Weight is the team's share relative to other teams; 1 when zero.
@@ -27,6 +32,12 @@
 	return Team{name: name, weight: o.Weight, tokenSHA256: o.TokenSHA256}
 }
 
+// TokenDigest returns the hex SHA-256 of a bearer token, as Options.TokenSHA256 takes it.
+func TokenDigest(token string) string {
+	digest := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(digest[:])
+}
+
 // Name returns the team's unique name.
 func (t Team) Name() string { return t.name }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,13 +26,37 @@
 platform=127.0.0.1:25000
 start platform bin/standins platform --listen "$platform"
 
-cat >"$out/site.yaml" <<YAML
-site: demo
-teams:
-  - {name: dispatch, weight: 4}
-  - {name: brokers, weight: 1}
-  - {name: bakery, weight: 2}
-  - {name: corner-shop, weight: 1}
+# Keys of the trial site: links between processes are under mutual TLS.
+keys="$out/keys"
+bin/laburnumring keys authority --dir "$keys" >/dev/null
+bin/laburnumring keys issue --dir "$keys" router router-1 router-2 >/dev/null
+bin/laburnumring keys issue --dir "$keys" agent model-1 model-2 model-3 booking-1 booking-2 >/dev/null
+bin/laburnumring keys issue --dir "$keys" operator demo >/dev/null
+
+# tls ROLE-NAME prints the setting that names a process's key files.
+tls() {
+  echo "tls: {certificate: $keys/$1.crt, key: $keys/$1.key, authority: $keys/authority.crt}"
+}
+
+printf 'site: demo\nteams:\n' >"$out/site.yaml"
+callers=()
+
+# Each team proves itself by a token, of which the configuration holds the digest.
+add_team() {
+  local name=$1 weight=$2 text token digest
+  text=$(bin/laburnumring keys token)
+  token=$(sed -n 's/^token: //p' <<<"$text")
+  digest=$(sed -n 's/^token_sha256: //p' <<<"$text")
+  echo "  - {name: $name, weight: $weight, token_sha256: $digest}" >>"$out/site.yaml"
+  callers+=(--team "$name" --token="$token")
+}
+
+add_team dispatch 4
+add_team brokers 1
+add_team bakery 2
+add_team corner-shop 1
+
+cat >>"$out/site.yaml" <<YAML
 services:
   - name: model-pool
     kind: model
@@ -65,7 +89,7 @@
 slots: $slots
 listen: $agent
 log: $platform
-insecure_loopback: true
+$(tls "agent-$name")
 shutdown_limit_ms: 10000
 YAML
   if [ "$kind" = model ]; then
@@ -87,9 +111,10 @@
 name: router-$i
 place: place-a
 listen: 127.0.0.1:2503$i
+control_listen: 127.0.0.1:2504$i
 log: $platform
 vms: $platform
-insecure_loopback: true
+$(tls "router-router-$i")
 shutdown_limit_ms: 10000
 YAML
   start "router-$i" bin/laburnumring router --settings "$out/router-$i.yaml"
@@ -99,7 +124,7 @@
 bin/standins load --router 127.0.0.1:25031 --router 127.0.0.1:25032 \
   --model-service model-pool --plain-service booking-app \
   --plain-server 127.0.0.1:25020 --plain-server 127.0.0.1:25022 \
-  --team dispatch --team brokers --team bakery --team corner-shop \
+  "${callers[@]}" \
   --requests "${DEMO_REQUESTS:-600}" --concurrency 24 >"$out/summary.json" || { cat "$out/summary.json"; exit 1; }
 stop_all
 echo "logs are in $out"
