--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -366,7 +366,7 @@
 func startRefusal(m peer.StartMessage, err error) answer.End {
 	var refused *claim.RefusedError
 	if !errors.As(err, &refused) {
-		return refusal(err)
+		return refusedEnd(err)
 	}
 	e := answer.End{Outcome: outcome.Unknown, Reason: refused.Reason, RetryAfter: claimedRetryAfter, Final: true}
 	if refused.NeverStarted() {
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -125,7 +125,7 @@
 	if c, ok := l.clients[name]; ok {
 		return c, nil
 	}
-	c, err := peer.Dial(ctx, address, nil, l.a.counter)
+	c, err := peer.Dial(ctx, address, l.a.o.TLS, l.a.counter)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,11 @@
 	ClaimRecordBad      = Event{7004, log.WarnLevel, "claim record ignored"}
 	ClaimGap            = Event{7005, log.WarnLevel, "claim records missed"}
 	ClaimRetentionShort = Event{7006, log.WarnLevel, "log retention shorter than key window"}
+	RequestRefused      = Event{6002, log.WarnLevel, "request refused as too slow, too long or malformed"}
+	CallerUnproved      = Event{6003, log.WarnLevel, "caller's team is not proved"}
+	KeysReloaded        = Event{6004, log.InfoLevel, "keys reloaded"}
+	KeysUnusable        = Event{6005, log.ErrorLevel, "changed keys cannot be used"}
+	KeysExpiring        = Event{6006, log.WarnLevel, "certificate expires soon"}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -42,8 +47,8 @@
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
-		ConnectionUntrusted,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
 		ShareParent,
+		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
 	}
 }
