router: Hold every attempt's answer to what the caller has

Cause: a second attempt went on at the caller's offset on trust. Two servers whose answers differ gave the caller a mixed answer that looked whole. A stream cut before its first frame was given up although the agent ran the request; a frozen agent held a caller until its deadline; an agent kept every answer in full for 30 s.

Ruled out: buffering answers in the router until whole (no streaming); asking engines for digests (their protocol is not ours).

Change: package transcript compares each attempt with what was sent: from offset 0 by digest and tail, or, where the service says resumes_exactly, over the last 1 KiB that the attempt sends again. A difference ends in a broken transfer. A broken stream asks the agent for the offer's state and is attached again for 1 s (repeatable) or 10 s; the silence of an agent's control link cuts its streams so that this begins at once. A run in the agent keeps a window of 1 MiB and lets the server wait for a slow caller; finished answers take at most 16 MiB. Model runs end at the request's deadline, and a cancelled run is not taken for a dead server. Retry-After follows the observed rate of the team's queue; agents' refusals no longer name a fixed time.

A server that wrongly claims to resume exactly is caught only where its last 1 KiB differs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -66,8 +66,9 @@
 	sessionLife = 2 * clock.Second
 	// offersWait is the longest that a call for offers waits.
 	offersWait = 1 * time.Second
-	// keepRuns is how long a finished answer can be fetched again.
-	keepRuns = 30 * clock.Second
+	// keepRuns is how long a finished answer can be fetched again, as long as all take at most keepBytes.
+	keepRuns  = 30 * clock.Second
+	keepBytes = 16 << 20
 )
 
 // Agent is one running agent.
@@ -234,6 +235,7 @@
 	for id, s := range a.started {
 		a.tickRun(now, id, s)
 	}
+	a.boundKept()
 	a.admission.Tick(now)
 	a.tickClaims(now)
 	a.fill(now)
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -159,7 +159,7 @@
 		a.claims.c.Release(entryOf(m))
 		return claimResult{err: err}
 	}
-	s := &startedRun{run: run.New(m.Start.ResumeFrom), router: m.Start.Router, readers: 1}
+	s := &startedRun{run: run.New(run.Options{From: m.Start.ResumeFrom}), router: m.Start.Router, readers: 1}
 	a.started[m.Start.Offer] = s
 	a.claims.runs[claim.Digest(m.Start.Key)] = m.Start.Offer
 	a.launch(m, s)
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -13,7 +13,6 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
-	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
 
@@ -81,12 +80,9 @@
 	s.idleSince = a.o.Clock.Now()
 }
 
-// refusalRetryAfter is when a router should try a refused start again.
-const refusalRetryAfter = 200 * clock.Millis(1)
-
-// refusal is the end of an attempt that the agent did not start.
+// refusal is the end of an attempt that the agent did not start. When to come back is the router's to say.
 func refusal(err error) answer.End {
-	e := answer.End{Outcome: outcome.Unknown, Reason: "refused", RetryAfter: refusalRetryAfter}
+	e := answer.End{Outcome: outcome.Unknown, Reason: "refused"}
 	var refused *admission.RefusedError
 	if !errors.As(err, &refused) {
 		return e
@@ -109,7 +105,7 @@
 	if err := a.admission.Start(now, m.Start.Offer); err != nil {
 		return nil, err
 	}
-	s := &startedRun{run: run.New(m.Start.ResumeFrom), router: m.Start.Router, readers: 1}
+	s := &startedRun{run: run.New(run.Options{From: m.Start.ResumeFrom}), router: m.Start.Router, readers: 1}
 	a.started[m.Start.Offer] = s
 	a.launch(m, s)
 	return s, nil
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -15,17 +15,27 @@
 
 // launch runs a started request in a goroutine of its own; callers hold mu.
 func (a *Agent) launch(m peer.StartMessage, s *startedRun) {
-	ctx, cancel := context.WithCancel(context.Background())
-	if a.o.Kind == service.Model {
+	ctx, cancel := a.runContext(m)
+	if a.o.Kind == service.Model && m.Start.Repeatable {
 		s.cancel = cancel
 	}
+	unblock := context.AfterFunc(ctx, s.run.Stop)
 	a.runs.Go(func() {
 		defer cancel()
+		defer unblock()
 		err := a.o.Backend.Run(ctx, backendRequest(m), s.run)
-		a.finish(m, s, err)
+		a.finish(m, s, endOf(err, ctx.Err()), err)
 	})
 }
 
+// runContext ends a model engine's run at the request's deadline; a plain service's call is never cut.
+func (a *Agent) runContext(m peer.StartMessage) (context.Context, context.CancelFunc) {
+	if a.o.Kind == service.Model {
+		return context.WithTimeout(context.Background(), m.Start.Remaining.Duration())
+	}
+	return context.WithCancel(context.Background())
+}
+
 func backendRequest(m peer.StartMessage) laburnumring.BackendRequest {
 	return laburnumring.BackendRequest{
 		ID:          m.Start.Request,
@@ -39,8 +49,7 @@
 }
 
 // finish ends a run and frees its slot.
-func (a *Agent) finish(m peer.StartMessage, s *startedRun, err error) {
-	end := endOf(err)
+func (a *Agent) finish(m peer.StartMessage, s *startedRun, end answer.End, err error) {
 	now := a.o.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -61,11 +70,14 @@
 // reasonServerDied is the reason of a run whose backend server broke off.
 const reasonServerDied = "server_died"
 
-// endOf names the outcome of a run.
-func endOf(err error) answer.End {
+// endOf names the outcome of a run that ended with err under a context that was cancelled with cancelled.
+func endOf(err, cancelled error) answer.End {
 	if err == nil {
 		return answer.End{Outcome: outcome.Whole}
 	}
+	if cancelled != nil {
+		return answer.End{Outcome: outcome.Unknown, Reason: "cancelled"}
+	}
 	var status *backend.StatusError
 	if errors.As(err, &status) {
 		return answer.End{Outcome: outcome.Failed, Reason: "server_error"}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -88,6 +88,8 @@
 	queues map[group][]*pending
 	// budgets holds the retry budget of each group that ever had a request.
 	budgets map[group]*budget.Budget
+	// drains holds the observed rate of each group that ever had a request bound.
+	drains map[group]*drain
 	// retries counts attempts after one that may have started; each was taken from a budget.
 	retries int64
 }
@@ -102,6 +104,7 @@
 		requests: make(map[string]*pending),
 		queues:   make(map[group][]*pending),
 		budgets:  make(map[group]*budget.Budget),
+		drains:   make(map[group]*drain),
 	}
 }
 
@@ -127,13 +130,12 @@
 	}
 	out := c.withdrawAll(p, server)
 	c.dequeue(p)
+	c.drain(p.group()).left(now)
 	c.o.Invariants.Checkf(p.r.Repeatable || p.tries == 0, "at_most_once",
 		"request %s is bound again after it may have started", p.r.ID)
 	p.attempt++
 	p.bound = server
-	out = append(out, Bind{
-		Server: server, Offer: o.ID, Request: o.Request, Attempt: o.Attempt, ResumeFrom: p.delivered,
-	})
+	out = append(out, Bind{Server: server, Offer: o.ID, Request: o.Request, Attempt: o.Attempt})
 	return append(out, c.leaveWindow(now, p.group())...)
 }
 
@@ -279,15 +281,6 @@
 	return s, nil
 }
 
-// retryAfter estimates when the group's queue will have moved on, from how long its oldest has waited.
-func (c *Controller) retryAfter(now clock.Millis, g group) clock.Millis {
-	q := c.queues[g]
-	if len(q) == 0 {
-		return minRetryAfter
-	}
-	return max(minRetryAfter, min(maxRetryAfter, now-q[0].arrived))
-}
-
 func (c *Controller) budget(g group, s service.Service) *budget.Budget {
 	b, ok := c.budgets[g]
 	if !ok {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -70,8 +70,6 @@
 	Offer   string
 	Request string
 	Attempt int
-	// ResumeFrom is how many bytes of the answer the caller already has.
-	ResumeFrom int64
 }
 
 // Abort asks to stop the running attempt of a request and report its result.
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/laburnumring/laburnumring/internal/dispatch"
+	"github.com/laburnumring/laburnumring/internal/transcript"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
 
@@ -23,12 +24,19 @@
 	keyTime int64
 	// events carries Bind and Finish actions from the controller; it has room for one of each.
 	events chan dispatch.Action
-	// abort ends the running attempt; it is set under the router's mu while an attempt runs.
-	abort context.CancelFunc
+	// abort ends the running attempt and cut its present stream, which server's agent sends; they are set
+	// under the router's mu while an attempt runs.
+	abort  context.CancelFunc
+	cut    context.CancelFunc
+	server string
 
 	w http.ResponseWriter
-	// delivered is how many bytes of the answer were written to the caller.
-	delivered int64
+	// answering says that the running attempt's answer has begun.
+	answering bool
+	// transcript holds attempts to what was written to the caller.
+	transcript *transcript.Transcript
+	// resumesExactly says that the service's servers go on with each other's answers.
+	resumesExactly bool
 	// headSent says that the response's status was written.
 	headSent bool
 	// plain says that the answer is kept in buffer and sent in one piece with its length.
@@ -95,10 +103,11 @@
 
 func (r *Router) attemptEnded(c *call, b dispatch.Bind, res dispatch.Result) {
 	now := r.o.Clock.Now()
-	res.Delivered = c.delivered
+	res.Delivered = c.transcript.Length()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.abort = nil
+	c.cut = nil
 	r.do(r.dispatch.AttemptEnded(now, c.id, b.Attempt, res))
 }
 
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/laburnumring/laburnumring/internal/dispatch"
+	"github.com/laburnumring/laburnumring/internal/transcript"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/header"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
@@ -133,6 +134,9 @@
 		contentType: req.Header.Get("Content-Type"),
 		events:      make(chan dispatch.Action, 2),
 		plain:       s.Kind() == service.Plain,
+		transcript:  transcript.New(),
+
+		resumesExactly: s.ResumesExactly(),
 	}
 	c.r = dispatch.Request{ID: id, Team: t.Name(), Service: s.Name(), Repeatable: s.Retry().Repeatable()}
 	if err := c.readHeaders(now, req); err != nil {
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -118,6 +118,7 @@
 	}
 	r.o.Logger.Log(event.AgentSilent, "server", l.server, "error", err)
 	r.membership.Lost(l.server)
+	r.cutStreams(l.server)
 	r.do(r.dispatch.AgentLost(now, l.server))
 }
 
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -24,32 +24,56 @@
 	RetryAfterMs clock.Millis `json:"retry_after_ms,omitempty"`
 }
 
-// write passes one frame on to the caller.
+// write passes one frame on to the caller, as far as the caller does not have it. Its errors are of type
+// *transcript.ContradictionError or of writing.
 func (c *call) write(f answer.Frame) error {
 	if c.plain {
 		c.keep(f)
 		return nil
 	}
-	if f.Head != nil && !c.headSent {
-		c.head(*f.Head)
+	if f.Head != nil {
+		first, err := c.transcript.Head(*f.Head)
+		if err != nil {
+			return err
+		}
+		if first {
+			c.head(*f.Head)
+		}
 	}
-	if len(f.Data) == 0 {
-		return nil
+	fresh, err := c.transcript.Data(f.Data)
+	if err != nil || len(fresh) == 0 {
+		return err
 	}
-	n, err := c.w.Write(f.Data)
-	c.delivered += int64(n)
-	if err != nil {
+	if _, err := c.w.Write(fresh); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	return http.NewResponseController(c.w).Flush()
 }
 
-// position is the offset of the next byte of the answer that the caller or the buffer needs.
+// begin prepares for an attempt and returns the offset from which its answer must come.
+func (c *call) begin() int64 {
+	if c.plain {
+		c.buffer = nil
+		return 0
+	}
+	return c.transcript.Begin(c.resumesExactly)
+}
+
+// end checks that a whole attempt's answer covers what the caller has. Its errors are of type
+// *transcript.ContradictionError.
+func (c *call) end() error {
+	if c.plain {
+		return nil
+	}
+	return c.transcript.End()
+}
+
+// position is the offset of the next byte of the attempt's answer.
 func (c *call) position() int64 {
 	if c.plain {
 		return int64(len(c.buffer))
 	}
-	return c.delivered
+	return c.transcript.Offset()
 }
 
 // keep stores a frame of a plain answer.
@@ -88,7 +112,7 @@
 			c.sendPlain()
 			return
 		}
-		c.w.Header().Set(header.Length, strconv.FormatInt(c.delivered, 10))
+		c.w.Header().Set(header.Length, strconv.FormatInt(c.transcript.Length(), 10))
 		return
 	}
 	l.Log(event.RequestNotWhole, "request", c.id, "team", c.r.Team, "service", c.r.Service,
--- /dev/null
+++ b/internal/router/whole_test.go
@@ -0,0 +1,53 @@
+package router_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/laburnumring/laburnumring/internal/standin/control"
+	"github.com/laburnumring/laburnumring/internal/standin/engine"
+	"github.com/laburnumring/laburnumring/pkg/header"
+)
+
+// TestWholeAnswers breaks servers and streams in the middle of an answer. Each case of the table names its
+// faults and what the caller must see.
+func TestWholeAnswers(t *testing.T) {
+	datadriven.RunTest(t, "testdata/whole", func(t *testing.T, d *datadriven.TestData) string {
+		var breakAfter, cutAfter int
+		d.MaybeScanArgs(t, "break_after_tokens", &breakAfter)
+		d.MaybeScanArgs(t, "cut_after_bytes", &cutAfter)
+		f := newFleet(t, fleetOptions{servers: 2, routers: 1, resumesExactly: d.HasArg("resumes_exactly")})
+		f.faults.Set(control.Faults{BreakAfterTokens: breakAfter, Contradict: d.HasArg("contradict")})
+		for _, p := range f.proxies {
+			if cutAfter > 0 {
+				p.Cut("POST /v1/start", cutAfter)
+			}
+		}
+		prompt := engine.Prompt{Text: "terms", MaxTokens: 400}
+		body, err := json.Marshal(prompt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		repeatable := strconv.FormatBool(!d.HasArg("once"))
+		return describe(f.call(t, 0, string(body), header.Repeatable, repeatable), engine.Answer(prompt))
+	})
+}
+
+// describe says what a caller saw, without anything that varies from run to run.
+func describe(r reply, want string) string {
+	switch {
+	case r.err != nil && strings.HasPrefix(want, r.body):
+		return "broken transfer after a right beginning\n"
+	case r.err != nil:
+		return "broken transfer\n"
+	case r.body == want && r.trailer.Get(header.Outcome) == "whole" && r.trailer.Get(header.Length) == strconv.Itoa(len(want)):
+		return "whole and right\n"
+	}
+	return fmt.Sprintf("status %d, outcome %q %q, %d bytes\n",
+		r.status, r.header.Get(header.Outcome), r.trailer.Get(header.Outcome), len(r.body))
+}
--- a/internal/standin/control/control.go
+++ b/internal/standin/control/control.go
@@ -20,6 +20,8 @@
 	LoadFactor float64 `json:"load_factor"`
 	// Contradict makes a model engine's answers differ from run to run.
 	Contradict bool `json:"contradict"`
+	// BreakAfterTokens makes a model engine break off its next run after so many tokens; 0 for none.
+	BreakAfterTokens int `json:"break_after_tokens"`
 }
 
 // Control hands out the faults in force. It is safe for concurrent use.
@@ -53,6 +55,15 @@
 	return true
 }
 
+// TakeBreak returns after how many tokens the next run breaks off, for one run only, or 0.
+func (c *Control) TakeBreak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.faults.BreakAfterTokens
+	c.faults.BreakAfterTokens = 0
+	return n
+}
+
 // ServeHTTP puts the faults of a JSON body in force.
 func (c *Control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var f Faults
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -100,11 +100,14 @@
 	e.enter(r.Header.Get(backend.RequestIDHeader))
 	defer e.leave()
 	from, _ := strconv.Atoi(r.Header.Get(backend.ResumeHeader))
-	e.stream(w, r, p, from/tokenLength)
+	e.stream(w, r, p, from)
 }
 
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, p Prompt, first int) {
+// stream sends the answer from offset from on.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, p Prompt, from int) {
 	text := p.Text
+	first, skip := from/tokenLength, from%tokenLength
+	breakAt := e.o.Control.TakeBreak()
 	if e.o.Control.Faults().Contradict {
 		text += strconv.FormatInt(time.Now().UnixNano(), 10)
 	}
@@ -115,10 +118,14 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		_ = enc.Encode(backend.Line{Text: Token(text, i), Units: 1})
+		_ = enc.Encode(backend.Line{Text: Token(text, i)[skip:], Units: 1})
+		skip = 0
 		if rc.Flush() != nil {
 			return
 		}
+		if breakAt > 0 && i+1 >= first+breakAt {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	_ = enc.Encode(backend.Line{Done: true, Length: int64(p.MaxTokens) * tokenLength})
 }
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -27,6 +27,8 @@
 	QueueLimit int
 	// KeyWindow is how long an idempotency key is remembered; ten minutes when zero.
 	KeyWindow clock.Millis
+	// ResumesExactly says that any server goes on with another's answer at a given offset, byte for byte.
+	ResumesExactly bool
 }
 
 // Service is one named kind of work with its own servers.
@@ -41,6 +43,8 @@
 	queueLimit int
 	// keyWindow is positive in a checked site.
 	keyWindow clock.Millis
+	// resumesExactly is the operators' word; the router checks a little of it at each resumption.
+	resumesExactly bool
 }
 
 const (
@@ -59,7 +63,10 @@
 	if o.KeyWindow == 0 {
 		o.KeyWindow = defaultKeyWindow
 	}
-	return Service{name: name, kind: o.Kind, retry: o.Retry, queueLimit: o.QueueLimit, keyWindow: o.KeyWindow}
+	return Service{
+		name: name, kind: o.Kind, retry: o.Retry, queueLimit: o.QueueLimit, keyWindow: o.KeyWindow,
+		resumesExactly: o.ResumesExactly,
+	}
 }
 
 // Name returns the service's unique name.
@@ -76,3 +83,6 @@
 
 // KeyWindow returns how long an idempotency key is remembered.
 func (s Service) KeyWindow() clock.Millis { return s.keyWindow }
+
+// ResumesExactly reports whether any server goes on with another's answer at a given offset, byte for byte.
+func (s Service) ResumesExactly() bool { return s.resumesExactly }
--- a/pkg/site/yaml.go
+++ b/pkg/site/yaml.go
@@ -38,11 +38,12 @@
 	}
 
 	yamlService struct {
-		Name        string       `yaml:"name"`
-		Kind        service.Kind `yaml:"kind"`
-		Retry       yamlRetry    `yaml:"retry"`
-		QueueLimit  int          `yaml:"queue_limit"`
-		KeyWindowMs clock.Millis `yaml:"key_window_ms"`
+		Name           string       `yaml:"name"`
+		Kind           service.Kind `yaml:"kind"`
+		Retry          yamlRetry    `yaml:"retry"`
+		QueueLimit     int          `yaml:"queue_limit"`
+		KeyWindowMs    clock.Millis `yaml:"key_window_ms"`
+		ResumesExactly bool         `yaml:"resumes_exactly,omitempty"`
 	}
 
 	yamlPlace struct {
@@ -103,8 +104,9 @@
 				BudgetPercent: v.Retry().BudgetPercent(),
 				Repeatable:    v.Retry().Repeatable(),
 			},
-			QueueLimit:  v.QueueLimit(),
-			KeyWindowMs: v.KeyWindow(),
+			QueueLimit:     v.QueueLimit(),
+			KeyWindowMs:    v.KeyWindow(),
+			ResumesExactly: v.ResumesExactly(),
 		})
 	}
 	for _, p := range s.places {
@@ -132,8 +134,9 @@
 				BudgetPercent: v.Retry.BudgetPercent,
 				Repeatable:    v.Retry.Repeatable,
 			}),
-			QueueLimit: v.QueueLimit,
-			KeyWindow:  v.KeyWindowMs,
+			QueueLimit:     v.QueueLimit,
+			KeyWindow:      v.KeyWindowMs,
+			ResumesExactly: v.ResumesExactly,
 		}))
 	}
 	for _, p := range y.Places {
