status: Show teams, servers and configuration of running processes

Cause: an operator had logs and metrics, and no view of the fleet.

Change: routers (control_listen) and agents serve a report at /v1/status to operators' certificates; laburnumring status asks several at once, by address or for all agents of the configuration on the log, and sums them up: services, teams with service, share, backlog and oldest wait, servers with slots and state, configuration versions with age and who lags. Tables or JSON, sorted by trouble, service or name, cut to the top rows. Agents count teams that the configuration does not name as one label.

Ruled out: routers passing on what they know of agents, since each knows a subset; polling inside the processes, which costs control traffic.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -108,6 +108,10 @@
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
 	claims *claims
+	// served holds the service units of requests that ended, by team label.
+	served map[string]int64
+	// liveSince is when the configuration in force came into force here.
+	liveSince clock.Millis
 	// serverUp is what the last probe said.
 	serverUp bool
 }
@@ -143,6 +147,7 @@
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
+		served:   make(map[string]int64),
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
@@ -161,7 +166,7 @@
 	a.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(a.metrics.registry, "platform")
 	a.follower = follower.New(follower.Options{
-		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: func() {},
+		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: func() { a.liveSince = a.o.Clock.Now() },
 	})
 	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
 		return nil, fmt.Errorf("register rpc service: %w", err)
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/backend"
+	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/platform"
@@ -113,6 +114,7 @@
 		LogTraffic:  &traffic.Counter{},
 		Logger:      event.NewLogger(io.Discard, "", "router"),
 		Rand:        rand.New(rand.NewPCG(1, uint64(i))),
+		CallerAuth:  caller.Header,
 	})
 	address := freeAddress(b.t)
 	b.run(address, r.Handler(), r.Run)
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
+	"github.com/laburnumring/laburnumring/internal/status"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
 
@@ -27,6 +28,7 @@
 	m.Handle(peer.RPCPath, allow(a.serveRPC, keys.Router, keys.Agent))
 	m.Handle(peer.StartPath, allow(a.serveStart, keys.Router)).Methods(http.MethodPost)
 	m.Handle(peer.ReattachPath, allow(a.serveReattach, keys.Router)).Methods(http.MethodPost)
+	m.Handle(status.Path, allow(a.serveStatus, keys.Operator))
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.Handle("/metrics", promhttp.HandlerFor(a.metrics.registry, promhttp.HandlerOpts{}))
 	return httpserve.Guard{MaxBody: maxMessage, Refusals: a.o.Refusals}.Wrap(m)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -56,10 +56,12 @@
 	s.run.End(end)
 	s.endedAt = now
 	a.admission.End(now, m.Start.Offer, s.run.Units())
-	a.metrics.ended(a.o.Server.Service(), m.Start.Team, end.Outcome, s.run.Units())
 	if end.Outcome == outcome.NotRun {
 		a.releaseClaim(m)
 	}
+	team := a.teamLabel(m.Start.Team)
+	a.served[team] += s.run.Units()
+	a.metrics.ended(a.o.Server.Service(), team, end.Outcome, s.run.Units())
 	if end.Reason == reasonServerDied {
 		a.o.Logger.Log(event.ServerDied, "request", m.Start.Request, "error", err)
 	}
--- a/internal/agent/security_test.go
+++ b/internal/agent/security_test.go
@@ -13,6 +13,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/status"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/pkg/server"
@@ -69,6 +70,7 @@
 		{peer.RPCPath, map[keys.Role]int{keys.Router: 405, keys.Agent: 405, keys.Operator: 403}},
 		{peer.StartPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
 		{peer.ReattachPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
+		{status.Path, map[keys.Role]int{keys.Router: 403, keys.Agent: 403, keys.Operator: 200}},
 	}
 	for _, tt := range tests {
 		for role, want := range tt.status {
@@ -90,3 +92,21 @@
 		t.Error("a caller's certificate was let in")
 	}
 }
+
+// TestStatusReport reads the agent's report as an operator, and as a router, which may not.
+func TestStatusReport(t *testing.T) {
+	trial, err := keys.NewTrial(t.TempDir(), time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := []string{secureAgent(t, trial)}
+	reader := status.NewReader(issue(t, trial, keys.Operator, "x").Client(keys.Agent), time.Minute)
+	reports, missing := reader.Read(t.Context(), address)
+	if len(missing) > 0 || len(reports) != 1 || reports[0].Name != "model-1" || reports[0].State != status.Down {
+		t.Errorf("reports %+v, missing %+v", reports, missing)
+	}
+	reader = status.NewReader(issue(t, trial, keys.Router, "x").Client(keys.Agent), time.Minute)
+	if _, missing := reader.Read(t.Context(), address); len(missing) != 1 || missing[0].Problem != "status 403" {
+		t.Errorf("missing %+v", missing)
+	}
+}
--- /dev/null
+++ b/internal/agent/status.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/laburnumring/laburnumring/internal/status"
+)
+
+// otherTeam stands for teams that the configuration does not name, so that messages cannot add labels.
+const otherTeam = "other"
+
+// teamLabel returns the name under which a team is counted; callers hold mu.
+func (a *Agent) teamLabel(name string) string {
+	if s := a.board.Site(); s != nil {
+		if _, ok := s.Team(name); ok {
+			return name
+		}
+	}
+	return otherTeam
+}
+
+// serveStatus answers with the agent's report.
+func (a *Agent) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(a.report())
+}
+
+// report says what the agent does now.
+func (a *Agent) report() status.Report {
+	now := a.o.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := status.Report{
+		Role: status.AgentRole, Name: a.o.Server.Name(), Incarnation: a.o.Incarnation, State: a.state(),
+		Version: a.board.Version(), Teams: a.teams(),
+	}
+	if out.Version > 0 {
+		out.AgeMs = now - a.liveSince
+	}
+	out.Servers = []status.Server{{
+		Server: a.o.Server.Name(), Service: a.o.Server.Service(), Place: a.o.Server.Place(), State: out.State,
+		Slots: a.o.Server.Slots(), Busy: a.admission.InUse(), Tickets: a.admission.Waiting(),
+	}}
+	return out
+}
+
+// state names what keeps the agent from taking work, if anything; callers hold mu.
+func (a *Agent) state() string {
+	switch {
+	case a.admission.Draining():
+		return status.Leaving
+	case !a.serverUp:
+		return status.Down
+	default:
+		return status.Ready
+	}
+}
+
+// teams lists the service given, by team; callers hold mu.
+func (a *Agent) teams() []status.Team {
+	out := make([]status.Team, 0, len(a.served))
+	for name, units := range a.served {
+		out = append(out, status.Team{Team: name, Service: a.o.Server.Service(), Units: units})
+	}
+	slices.SortFunc(out, func(x, y status.Team) int { return cmp.Compare(x.Team, y.Team) })
+	return out
+}
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -7,11 +7,13 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/status"
 )
 
 // ControlHandler returns the operators' interface.
 func (r *Router) ControlHandler() http.Handler {
 	m := mux.NewRouter()
 	m.Handle("/metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
+	m.HandleFunc(status.Path, r.serveStatus).Methods(http.MethodGet)
 	return r.o.Gate.Allow(m, keys.Operator)
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/backend"
+	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/router"
@@ -187,7 +188,7 @@
 		Name: fmt.Sprintf("router-%d", i), Place: "here", Incarnation: router.NewIncarnation(),
 		Clock: wallclock.New(), Log: log, VMs: noVMs{}, LogTraffic: &traffic.Counter{},
 		Logger: event.NewLogger(w, "text", "router"), ShutdownLimit: time.Second,
-		Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+		Rand: rand.New(rand.NewPCG(uint64(i), 1)), CallerAuth: caller.Header,
 	})
 	s := httptest.NewServer(r.Handler())
 	t.Cleanup(s.Close)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,6 +101,8 @@
 	links map[string]*link
 	// calls holds the callers that wait, by request id.
 	calls map[string]*call
+	// liveSince is when the configuration in force came into force here.
+	liveSince clock.Millis
 	// stopping is set once, when a shutdown begins.
 	stopping bool
 	// count numbers the requests.
@@ -228,6 +230,7 @@
 func (r *Router) configured() {
 	_, removed := r.membership.Configured()
 	now := r.o.Clock.Now()
+	r.liveSince = now
 	for _, name := range removed {
 		r.closeLink(now, name)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -121,11 +121,15 @@
 done
 
 bin/laburnumring config publish --log "$platform" "$out/site.yaml"
+result=0
 bin/standins load --router 127.0.0.1:25031 --router 127.0.0.1:25032 \
   --model-service model-pool --plain-service booking-app \
   --plain-server 127.0.0.1:25020 --plain-server 127.0.0.1:25022 \
   "${callers[@]}" \
-  --requests "${DEMO_REQUESTS:-600}" --concurrency 24 >"$out/summary.json" || { cat "$out/summary.json"; exit 1; }
+  --requests "${DEMO_REQUESTS:-600}" --concurrency 24 >"$out/summary.json" || result=1
+bin/laburnumring status --log "$platform" --certificate "$keys/operator-demo.crt" --key "$keys/operator-demo.key" \
+  --authority "$keys/authority.crt" 127.0.0.1:25041 127.0.0.1:25042 || result=1
 stop_all
 echo "logs are in $out"
 cat "$out/summary.json"
+exit "$result"
