slopes: Count the log's calls and the cost of restarts

Cause: the capacity page needs appends a second for everything that appends, and what a restart costs its peers.

Change: the log stand-in counts its calls; the slopes have a platform role and an axis of agent restarts. Keyed requests are charged to an agent at the rate of its whole service, since each agent reads all claims of it.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -96,7 +96,7 @@
 		{"agent", "waiting requests", "waiting_requests", s.Backlogged * s.Window / s.Agents, false},
 		{"agent", "configuration changes", "configuration_changes_per_s", s.ChangesPerDay / secondsPerDay, false},
 		{"agent", "requests", "plain_requests_per_s", perAgent, true},
-		{"agent", "keyed requests", "keyed_requests_per_s", perAgent * s.KeyedShare, true},
+		{"agent", "keyed requests of its service", "keyed_requests_per_s", s.RequestsPerS * s.KeyedShare, true},
 		{"agent", "tokens", "tokens_per_s", s.TokensPerS / s.Agents, true},
 	}
 }
--- a/internal/slopes/fit.go
+++ b/internal/slopes/fit.go
@@ -34,6 +34,9 @@
 	}
 	base, slope := stat.LinearRegression(xs, ys, nil, false)
 	f := Fit{Base: base, Slope: slope, R2: stat.RSquared(xs, ys, nil, base, slope)}
+	if math.IsNaN(f.R2) {
+		f.R2 = 1 // All values are the same, and the line meets them.
+	}
 	sum := 0.0
 	for i := range xs {
 		d := ys[i] - base - slope*xs[i]
--- a/internal/slopes/sample.go
+++ b/internal/slopes/sample.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -11,12 +13,15 @@
 	"github.com/prometheus/common/model"
 
 	"github.com/laburnumring/laburnumring/internal/fleet"
+	"github.com/laburnumring/laburnumring/internal/standin/platformlog"
 )
 
 // target is one process to measure and where its metrics are.
 type target struct {
 	process *fleet.Process
+	// metrics is a product's URL of metrics, and stats the log's URL of counts; one of them is set.
 	metrics string
+	stats   string
 }
 
 // sample is what a process has used up to one moment.
@@ -25,6 +30,8 @@
 	// peer and platform are bytes of control in both directions.
 	peer     float64
 	platform float64
+	// log counts the calls of the platform's log; zero for other processes.
+	log platformlog.Stats
 }
 
 // rates are what a process used in a period.
@@ -36,6 +43,9 @@
 	// peer and platform are bytes of control a second in both directions.
 	peer     float64
 	platform float64
+	// appends and reads are calls of the platform's log a second.
+	appends float64
+	reads   float64
 }
 
 const bytesPerMB = 1e6
@@ -45,11 +55,15 @@
 	if err != nil {
 		return sample{}, err
 	}
+	s := sample{usage: usage}
+	if t.stats != "" {
+		s.log, err = readStats(ctx, t.stats)
+		return s, err
+	}
 	families, err := scrape(ctx, t.metrics)
 	if err != nil {
 		return sample{}, err
 	}
-	s := sample{usage: usage}
 	for _, m := range families["laburnumring_control_bytes_total"].GetMetric() {
 		if label(m, "kind") == "peer" {
 			s.peer += m.GetCounter().GetValue()
@@ -60,7 +74,18 @@
 	return s, nil
 }
 
-func scrape(ctx context.Context, url string) (map[string]*dto.MetricFamily, error) {
+// readStats reads the counts of the platform's log.
+func readStats(ctx context.Context, url string) (platformlog.Stats, error) {
+	var s platformlog.Stats
+	body, err := get(ctx, url)
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = body.Close() }()
+	return s, json.NewDecoder(body).Decode(&s)
+}
+
+func get(ctx context.Context, url string) (io.ReadCloser, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return nil, err
@@ -69,9 +94,17 @@
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
+	return resp.Body, nil
+}
+
+func scrape(ctx context.Context, url string) (map[string]*dto.MetricFamily, error) {
+	body, err := get(ctx, url)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = body.Close() }()
 	p := expfmt.NewTextParser(model.UTF8Validation)
-	families, err := p.TextToMetricFamilies(resp.Body)
+	families, err := p.TextToMetricFamilies(body)
 	if err != nil {
 		return nil, fmt.Errorf("read metrics of %s: %w", url, err)
 	}
@@ -95,6 +128,8 @@
 		resident: float64(b.usage.Resident) / bytesPerMB,
 		peer:     (b.peer - a.peer) / s,
 		platform: (b.platform - a.platform) / s,
+		appends:  float64(b.log.Appends-a.log.Appends) / s,
+		reads:    float64(b.log.Reads-a.log.Reads) / s,
 	}
 }
 
@@ -106,7 +141,12 @@
 		out.resident += r.resident
 		out.peer += r.peer
 		out.platform += r.platform
+		out.appends += r.appends
+		out.reads += r.reads
 	}
 	n := float64(len(all))
-	return rates{cpu: out.cpu / n, resident: out.resident / n, peer: out.peer / n, platform: out.platform / n}
+	return rates{
+		cpu: out.cpu / n, resident: out.resident / n, peer: out.peer / n, platform: out.platform / n,
+		appends: out.appends / n, reads: out.reads / n,
+	}
 }
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -119,6 +119,11 @@
 		{name: "configuration_changes_per_s", perPeriod: true, sizes: []float64{0, 2, 4}, shape: func(float64) (fleet.Options, drive) {
 			return base()
 		}, during: publishLarge},
+		{name: "agent_restarts_per_s", perPeriod: true, sizes: []float64{0, 1, 2}, shape: func(float64) (fleet.Options, drive) {
+			o, d := base()
+			d.rate, d.tokens = baseRate, baseTokens
+			return o, d
+		}, during: restartAgents},
 	}
 }
 
@@ -128,7 +133,20 @@
 	of   func(rates) float64
 }
 
-func costs() []cost {
+// Names of the roles.
+const (
+	router   = "router"
+	agent    = "agent"
+	platform = "platform"
+)
+
+func costs(role string) []cost {
+	if role == platform {
+		return []cost{
+			{"appends_per_s", func(r rates) float64 { return r.appends }},
+			{"reads_per_s", func(r rates) float64 { return r.reads }},
+		}
+	}
 	return []cost{
 		{"cpu_percent_of_core", func(r rates) float64 { return r.cpu }},
 		{"resident_mb", func(r rates) float64 { return r.resident }},
@@ -148,13 +166,13 @@
 			if points[role] == nil {
 				points[role] = make(map[string][]Point)
 			}
-			for _, c := range costs() {
+			for _, c := range costs(role) {
 				points[role][c.name] = append(points[role][c.name], Point{X: a.sizeOf(o, role, x), Y: c.of(r)})
 			}
 		}
 	}
-	for _, role := range []string{"router", "agent"} {
-		for _, c := range costs() {
+	for _, role := range []string{router, agent, platform} {
+		for _, c := range costs(role) {
 			p := points[role][c.name]
 			if err := emit(Slope{Axis: a.name, Role: role, Cost: c.name, Points: p, Fit: NewFit(p)}); err != nil {
 				return err
@@ -169,7 +187,7 @@
 	if a.perPeriod {
 		x /= o.Period.Seconds()
 	}
-	if a.works == "" || role == "router" {
+	if a.works == "" || role != agent {
 		return x
 	}
 	f, _ := a.shape(x)
@@ -236,8 +254,9 @@
 // targetsOf lists the routers and the agents of the service that works, or of all when it is empty.
 func targetsOf(f *fleet.Fleet, works string) map[string][]target {
 	out := make(map[string][]target)
+	out[platform] = []target{{process: f.Process(platform), stats: "http://" + f.Platform() + "/stats"}}
 	for i, address := range f.Routers() {
-		out["router"] = append(out["router"], target{
+		out[router] = append(out[router], target{
 			process: f.Process(fmt.Sprintf("router-%d", i+1)),
 			metrics: "http://" + address + "/metrics",
 		})
@@ -246,7 +265,7 @@
 		if works != "" && s.Service() != works {
 			continue
 		}
-		out["agent"] = append(out["agent"], target{
+		out[agent] = append(out[agent], target{
 			process: f.Process(s.Name() + "-agent"),
 			metrics: "http://" + s.Agent() + "/metrics",
 		})
@@ -268,6 +287,22 @@
 	return out, nil
 }
 
+// restartAgents kills x agents in turn and starts each again, with no state.
+func restartAgents(_ context.Context, f *fleet.Fleet, x float64) error {
+	for i := range int(x) {
+		p := f.Process(fmt.Sprintf("%s-%d-agent", fleet.ModelService, i+1))
+		p.Kill()
+		time.Sleep(restartPause)
+		if err := p.Restart(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartPause is how long a killed agent stays away.
+const restartPause = 200 * time.Millisecond
+
 // Sizes of a large configuration.
 const (
 	largeTeams   = 520
--- a/internal/standin/platformlog/platformlog.go
+++ b/internal/standin/platformlog/platformlog.go
@@ -32,12 +32,22 @@
 	maxPage                 = 1000
 )
 
+// Stats counts calls.
+type Stats struct {
+	// Appends counts records that were added.
+	Appends int64 `json:"appends"`
+	// Reads counts reads that were answered.
+	Reads int64 `json:"reads"`
+}
+
 // Log keeps streams in memory and serves them over HTTP.
 type Log struct {
 	o       Options
 	limiter *rate.Limiter
 
 	mu sync.Mutex
+	// stats counts the calls that were served.
+	stats Stats
 	// streams holds each stream by name.
 	streams map[string]*stream
 }
@@ -74,6 +84,7 @@
 func (l *Log) Handler() http.Handler {
 	m := mux.NewRouter()
 	m.Handle("/control", l.o.Control).Methods(http.MethodPost)
+	m.HandleFunc("/stats", l.serveStats).Methods(http.MethodGet)
 	m.Handle("/v1/streams/{stream}/records", l.o.Control.Wrap(http.HandlerFunc(l.append))).Methods(http.MethodPost)
 	m.Handle("/v1/streams/{stream}/records", l.o.Control.Wrap(http.HandlerFunc(l.read))).Methods(http.MethodGet)
 	return m
@@ -90,6 +101,7 @@
 		return
 	}
 	l.mu.Lock()
+	l.stats.Appends++
 	s := l.stream(mux.Vars(r)["stream"])
 	rec := laburnumring.Record{Offset: s.next(), Data: data}
 	s.records = append(s.records, rec)
@@ -111,6 +123,7 @@
 	for {
 		page, changed := l.page(mux.Vars(r)["stream"], from)
 		if len(page.Records) > 0 || wait == 0 {
+			l.countRead()
 			reply(w, page)
 			return
 		}
@@ -124,6 +137,18 @@
 	}
 }
 
+func (l *Log) countRead() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Reads++
+}
+
+func (l *Log) serveStats(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply(w, l.stats)
+}
+
 func (l *Log) page(name string, from int64) (laburnumring.Page, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
