agent: Prove at most once through processes under faults

A key whose window has ended is refused as expired also while the log is down. A lost reply slows appends no longer once the append is read back. The agent asserts that a key starts once.

Ruled out: a clock check instead of the log for keys of an earlier run.

Conclusion: at most once holds with lost replies, a slow log, an outage and an agent's restart, one at a time.

--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -155,13 +155,19 @@
 
 // claimWon starts the request of a claim that won, unless it was withdrawn meanwhile; callers hold mu.
 func (a *Agent) claimWon(now clock.Millis, m peer.StartMessage) claimResult {
+	key := claim.Digest(m.Start.Key)
+	if first, ok := a.claims.runs[key]; ok {
+		a.o.Logger.Log(event.InvariantBroken, "invariant", "a key starts once", "offer", m.Start.Offer, "first", first)
+		a.admission.WithdrawOffer(now, m.Start.Offer)
+		return claimResult{err: &claim.RefusedError{ID: m.Start.Offer, Reason: claim.ReasonClaimed}}
+	}
 	if err := a.admission.Start(now, m.Start.Offer); err != nil {
 		a.claims.c.Release(entryOf(m))
 		return claimResult{err: err}
 	}
 	s := &startedRun{run: run.New(m.Start.ResumeFrom), router: m.Start.Router, readers: 1}
 	a.started[m.Start.Offer] = s
-	a.claims.runs[claim.Digest(m.Start.Key)] = m.Start.Offer
+	a.claims.runs[key] = m.Start.Offer
 	a.launch(m, s)
 	return claimResult{s: s}
 }
--- /dev/null
+++ b/internal/agent/claims_test.go
@@ -0,0 +1,139 @@
+package agent_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/laburnumring/laburnumring/internal/standin/control"
+	"github.com/laburnumring/laburnumring/internal/standin/load"
+	"github.com/laburnumring/laburnumring/internal/standin/plainservice"
+	"github.com/laburnumring/laburnumring/pkg/header"
+)
+
+// ended is how a booking ended for its caller.
+type ended struct {
+	outcome string
+	reason  string
+	body    string
+}
+
+// book sends a booking under a key through one router.
+func (b *bench) book(router int, key, body string) ended {
+	url := "http://" + b.routers[router] + "/v1/services/booking-app/bookings"
+	req, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	req.Header.Set(header.Team, "brokers")
+	req.Header.Set(header.IdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if resp.Header.Get(header.Outcome) != "whole" && resp.Header.Get("Retry-After") == "" {
+		b.t.Errorf("%s names no time to come back", resp.Header.Get(header.Reason))
+	}
+	return ended{resp.Header.Get(header.Outcome), resp.Header.Get(header.Reason), string(data)}
+}
+
+// runs returns how often a booking ran on all servers.
+func (b *bench) runs(body string) int {
+	n := 0
+	for _, address := range b.servers {
+		resp, err := http.Get("http://" + address + "/runs")
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		var runs map[string]int
+		err = json.NewDecoder(resp.Body).Decode(&runs)
+		_ = resp.Body.Close()
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		n += runs[body]
+	}
+	return n
+}
+
+func (b *bench) want(what string, got ended, want ...ended) {
+	b.t.Helper()
+	for _, w := range want {
+		if got.outcome == w.outcome && got.reason == w.reason && (w.body == "" || got.body == w.body) {
+			return
+		}
+	}
+	b.t.Errorf("%s ended %+v", what, got)
+}
+
+// TestKeyedBookings sends one key again and again: through both routers, with other content, after all agents
+// restarted with no state, and during an outage of the log.
+func TestKeyedBookings(t *testing.T) {
+	b := newBench(t)
+	key := uuid.Must(uuid.NewV7()).String()
+	whole := ended{outcome: "whole", body: plainservice.Answer("/bookings", "hull 1")}
+	claimed := ended{outcome: "unknown", reason: "key_claimed"}
+	b.want("the booking", b.book(0, key, "hull 1"), whole)
+	b.want("the resent booking", b.book(1, key, "hull 1"), whole, claimed)
+	b.want("other content", b.book(1, key, "hull 2"), ended{outcome: "not_run", reason: "key_reused"})
+	for i := range b.agents {
+		b.restartAgent(i)
+	}
+	b.want("the booking after a restart", b.book(0, key, "hull 1"), claimed)
+	b.want("other content after a restart", b.book(1, key, "hull 2"), ended{outcome: "not_run", reason: "key_reused"})
+	unavailable := ended{outcome: "not_run", reason: "claim_log_unavailable"}
+	b.log.Set(control.Faults{Down: true})
+	b.want("a booking without the log", b.book(0, uuid.Must(uuid.NewV7()).String(), "hull 3"), unavailable)
+	b.want("the booking without the log", b.book(0, key, "hull 1"), claimed, unavailable)
+	b.log.Set(control.Faults{})
+	b.want("an old key", b.book(0, "01890a5d-ac96-774b-bcce-b302099a8057", "hull 4"),
+		ended{outcome: "unknown", reason: "key_expired"})
+	for body, want := range map[string]int{"hull 1": 1, "hull 2": 0, "hull 3": 0, "hull 4": 0} {
+		if n := b.runs(body); n != want {
+			t.Errorf("%s ran %d times, not %d", body, n, want)
+		}
+	}
+}
+
+// TestBookingsUnderFaults lets both routers get the same keys at once while the log or the agents fail.
+func TestBookingsUnderFaults(t *testing.T) {
+	faults := map[string]func(b *bench){
+		"none":          func(*bench) {},
+		"lost replies":  func(b *bench) { b.log.Set(control.Faults{LoseReplies: 25}) },
+		"slow log":      func(b *bench) { b.log.Set(control.Faults{DelayMs: 20}) },
+		"outage":        func(b *bench) { b.log.Set(control.Faults{Down: true}) },
+		"agent restart": func(b *bench) { b.restartAgent(0) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			o := load.Options{
+				Routers: b.routers, PlainService: "booking-app", PlainServers: b.servers, Teams: []string{"brokers"},
+				Requests: 150, Concurrency: 16, Seed: 1, DeadlineMs: 5000,
+			}
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				fault(b)
+			}()
+			s, err := load.New(o).Run(t.Context())
+			<-done
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%+v", s)
+			if s.RanTwice > 0 || s.WrongAnswers > 0 || s.RanAfterNotRun > 0 {
+				t.Errorf("broken: %+v", s)
+			}
+		})
+	}
+}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -91,9 +91,9 @@
 	inFlight []*item
 	// unseen holds own entries that were sent or queued and not read back, by kind and id.
 	unseen map[itemKey]*item
-	// nextFlush is the earliest time of the next append.
-	nextFlush clock.Millis
-	// failures counts the appends that failed since one succeeded.
+	// flushed is when the last append began or failed.
+	flushed clock.Millis
+	// failures counts the appends that failed since one succeeded or was read back.
 	failures int
 	// active holds when each agent's last record was read.
 	active map[string]clock.Millis
@@ -202,7 +202,7 @@
 	if h, ok := c.x.holder(e.Key); ok && !e.succeeds(h) {
 		return refuseHeld(e, h)
 	}
-	if c.State() != Current {
+	if c.window == 0 {
 		return &RefusedError{ID: e.ID, Reason: ReasonUnavailable}
 	}
 	if c.expired(now, e) {
@@ -211,6 +211,9 @@
 	if e.KeyTime > now+c.o.Skew {
 		return &RefusedError{ID: e.ID, Reason: ReasonAhead}
 	}
+	if c.State() != Current {
+		return &RefusedError{ID: e.ID, Reason: ReasonUnavailable}
+	}
 	return nil
 }
 
@@ -257,7 +260,7 @@
 // answered by Appended before the next.
 func (c *Controller) Batch(now clock.Millis) ([]byte, bool) {
 	c.queue = slices.DeleteFunc(c.queue, func(it *item) bool { return it.seen })
-	if c.inFlight != nil || len(c.queue) == 0 || now < c.nextFlush {
+	if c.inFlight != nil || len(c.queue) == 0 || now < c.flushed+c.interval() {
 		return nil, false
 	}
 	n := min(len(c.queue), maxBatch)
@@ -272,14 +275,14 @@
 	}
 	c.inFlight = slices.Clone(c.queue[:n])
 	c.queue = slices.Delete(c.queue, 0, n)
-	c.nextFlush = now + c.interval()
+	c.flushed = now
 	return data, true
 }
 
-// interval is the time between two appends: this agent's part of the stream's budget.
+// interval is the time between two appends: this agent's part of the stream's budget, or longer after failures.
 func (c *Controller) interval() clock.Millis {
 	share := clock.Millis(len(c.active)) * clock.Second / clock.Millis(c.o.AppendsPerSecond)
-	return max(c.o.MinFlush, share)
+	return max(c.o.MinFlush, share, c.backoff())
 }
 
 // Appended tells how the append of the last batch ended. After a failure its entries may be in the log or not,
@@ -292,13 +295,14 @@
 		return
 	}
 	c.failures++
-	c.nextFlush = max(c.nextFlush, now+c.backoff())
+	c.flushed = now
 	batch = slices.DeleteFunc(batch, func(it *item) bool {
 		return it.seen || c.unseen[itemKey{it.e.Kind, it.e.ID}] != it
 	})
 	c.queue = append(batch, c.queue...)
 }
 
+// backoff is the capped exponential time to wait after failures.
 func (c *Controller) backoff() clock.Millis {
 	d := c.o.MinFlush
 	for range c.failures {
--- a/internal/claim/page.go
+++ b/internal/claim/page.go
@@ -101,6 +101,9 @@
 		u.Bad = append(u.Bad, err)
 		return
 	}
+	if rec.Agent == c.o.Agent {
+		c.failures = 0
+	}
 	if c.current {
 		c.active[rec.Agent] = now
 	}
