order: Let only the newest lease's holder give orders to a model engine

Cause: an order of a paused and resumed holder would reach engines that ignore fencing numbers; there was no way to give orders at all.

Ruled out: the engine as the only fence; the agent's memory of the highest number, which does not know a new holder without orders; the lease's end by a clock; leases that name their predecessor, on which readers differ once the log has dropped one. docs/design/fencing.md weighs them.

Change: internal/order has the rule, `laburnumring order lease` and `order send` take leases and give orders, and the agent reads the stream `orders` to its end after an order arrived, one order at a time, before it passes it on. Without the log it refuses. The stand-in engine takes orders and checks numbers or not by an option.

Measured: go test ./internal/order ./internal/agent: ok. Real processes on loopback: the order with the old number ended as `fenced`, the engine carried out the new holder's only.

Conclusion: an order with an old number changes nothing with either kind of engine. Not covered: a second agent process beside one engine, and an order of unknown result that an engine carries out late.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
@@ -94,6 +95,8 @@
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
 	claims *claims
+	// orders has a lock of its own.
+	orders *orders
 	// serverUp is what the last probe said.
 	serverUp bool
 }
@@ -126,6 +129,7 @@
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
+		orders:   &orders{c: order.New()},
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -39,6 +39,7 @@
 	run := make(map[string]func(context.Context) error)
 	for _, register := range []func(*kingpin.Application, *environment) (string, func(context.Context) error){
 		registerRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow, registerVersion,
+		registerOrderLease, registerOrderSend,
 	} {
 		name, f := register(app, env)
 		run[name] = f
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,7 @@
 	ClaimRecordBad      = Event{7004, log.WarnLevel, "claim record ignored"}
 	ClaimGap            = Event{7005, log.WarnLevel, "claim records missed"}
 	ClaimRetentionShort = Event{7006, log.WarnLevel, "log retention shorter than key window"}
+	OrderEnded          = Event{7007, log.InfoLevel, "order to backend server ended"}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -44,6 +45,7 @@
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ConnectionUntrusted,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
+		OrderEnded,
 		ShareParent,
 	}
 }
