--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
@@ -112,6 +113,8 @@
 	served map[string]int64
 	// liveSince is when the configuration in force came into force here.
 	liveSince clock.Millis
+	// orders has a lock of its own.
+	orders *orders
 	// serverUp is what the last probe said.
 	serverUp bool
 }
@@ -148,6 +151,7 @@
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
 		served:   make(map[string]int64),
+		orders:   &orders{c: order.New()},
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,6 +37,7 @@
 	KeysReloaded        = Event{6004, log.InfoLevel, "keys reloaded"}
 	KeysUnusable        = Event{6005, log.ErrorLevel, "changed keys cannot be used"}
 	KeysExpiring        = Event{6006, log.WarnLevel, "certificate expires soon"}
+	OrderEnded          = Event{7007, log.InfoLevel, "order to backend server ended"}
 )
 
 // All returns the catalogue in the order of the numbers.
@@ -48,6 +49,7 @@
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
+		OrderEnded,
 		ShareParent,
 		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
 	}
