--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -166,7 +166,7 @@
 	a.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(a.metrics.registry, "platform")
 	a.follower = follower.New(follower.Options{
-		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: func() { a.liveSince = a.o.Clock.Now() },
+		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: a.configured,
 	})
 	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
 		return nil, fmt.Errorf("register rpc service: %w", err)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -59,7 +59,7 @@
 	if end.Outcome == outcome.NotRun {
 		a.releaseClaim(m)
 	}
-	team := a.teamLabel(m.Start.Team)
+	team := a.metrics.teams.Value(m.Start.Team)
 	a.served[team] += s.run.Units()
 	a.metrics.ended(a.o.Server.Service(), team, end.Outcome, s.run.Units())
 	if end.Reason == reasonServerDied {
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/laburnumring/laburnumring/internal/label"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
 
@@ -13,6 +14,8 @@
 	// violations counts broken invariants.
 	violations prometheus.Counter
 	units      *prometheus.HistogramVec
+	// teams bounds the label of requests and units: agents learn teams from routers' messages.
+	teams *label.Bound
 }
 
 // unitBuckets are bounds of a request's cost in service units.
@@ -37,6 +40,7 @@
 		Name: "laburnumring_agent_invariants_broken_total",
 		Help: "Invariants that the process found broken.",
 	})
+	m.teams = label.New("team", m.requests, m.units)
 	m.registry.MustRegister(m.violations, m.requests, m.units)
 	return m
 }
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -3,23 +3,23 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/status"
 )
 
-// otherTeam stands for teams that the configuration does not name, so that messages cannot add labels.
-const otherTeam = "other"
-
-// teamLabel returns the name under which a team is counted; callers hold mu.
-func (a *Agent) teamLabel(name string) string {
-	if s := a.board.Site(); s != nil {
-		if _, ok := s.Team(name); ok {
-			return name
-		}
+// configured takes note of the configuration that has come into force; callers hold mu.
+func (a *Agent) configured() {
+	a.liveSince = a.o.Clock.Now()
+	teams := a.board.Site().Teams()
+	names := make([]string, 0, len(teams))
+	for _, t := range teams {
+		names = append(names, t.Name())
 	}
-	return otherTeam
+	a.metrics.teams.Set(names)
+	maps.DeleteFunc(a.served, func(name string, _ int64) bool { return a.metrics.teams.Value(name) != name })
 }
 
 // serveStatus answers with the agent's report.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -3,8 +3,10 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/laburnumring/laburnumring/internal/label"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
+	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
 // metrics are the router's counters and histograms. Labels take values from the configuration only.
@@ -14,6 +16,9 @@
 	// violations counts broken invariants.
 	violations prometheus.Counter
 	duration   *prometheus.HistogramVec
+	// teams and services bound the labels of requests and duration.
+	teams    *label.Bound
+	services *label.Bound
 }
 
 // durationBuckets are bounds of a request's time in seconds.
@@ -38,11 +43,30 @@
 		Name: "laburnumring_router_invariants_broken_total",
 		Help: "Invariants that the process found broken.",
 	})
+	m.teams = label.New("team", m.requests, m.duration)
+	m.services = label.New("service", m.requests, m.duration)
 	m.registry.MustRegister(m.violations, m.requests, m.duration)
 	return m
 }
 
+// configured takes the names that labels may have from the configuration in force.
+func (m *metrics) configured(s *site.Site) {
+	var teams, services []string
+	for _, t := range s.Teams() {
+		teams = append(teams, t.Name())
+	}
+	for _, v := range s.Services() {
+		services = append(services, v.Name())
+	}
+	m.teams.Set(teams)
+	m.services.Set(services)
+}
+
 func (m *metrics) ended(service, team string, o outcome.Outcome, d clock.Millis) {
+	if !o.Valid() {
+		o = outcome.Unknown
+	}
+	service, team = m.services.Value(service), m.teams.Value(team)
 	m.requests.WithLabelValues(service, team, string(o)).Inc()
 	m.duration.WithLabelValues(service, team).Observe(d.Duration().Seconds())
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -231,6 +231,7 @@
 	_, removed := r.membership.Configured()
 	now := r.o.Clock.Now()
 	r.liveSince = now
+	r.metrics.configured(r.board.Site())
 	for _, name := range removed {
 		r.closeLink(now, name)
 	}
