--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -156,3 +156,12 @@
 		c.fail("shutdown_limit_ms", strconv.FormatInt(int64(*m), 10), "a whole number from 0 to 86400000")
 	}
 }
+
+func (c *checker) retention(m *clock.Millis) {
+	if *m == 0 {
+		*m = defaultLogRetention
+	}
+	if *m < 0 {
+		c.fail("log_retention_ms", strconv.FormatInt(int64(*m), 10), "a whole number from 0")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,8 +2,6 @@
 package settings
 
 import (
-	"strconv"
-
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -153,12 +151,3 @@
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
 }
-
-func (c *checker) retention(m *clock.Millis) {
-	if *m == 0 {
-		*m = defaultLogRetention
-	}
-	if *m < 0 {
-		c.fail("log_retention_ms", strconv.FormatInt(int64(*m), 10), "a positive whole number")
-	}
-}
--- a/internal/settings/share.go
+++ b/internal/settings/share.go
@@ -32,10 +32,10 @@
 		s.LeadUnits = defaultLeadUnits
 	}
 	if s.PeriodMs < minSharePeriod || s.PeriodMs > maxSharePeriod {
-		c.fail("share", strconv.FormatInt(int64(s.PeriodMs), 10), "period_ms: a whole number from 10 to 60000")
+		c.fail("share.period_ms", strconv.FormatInt(int64(s.PeriodMs), 10), "a whole number from 10 to 60000")
 	}
 	if s.LeadUnits < 1 || s.LeadUnits > maxLeadUnits {
-		c.fail("share", strconv.FormatInt(s.LeadUnits, 10), "lead_units: a whole number from 1 to 2^40")
+		c.fail("share.lead_units", strconv.FormatInt(s.LeadUnits, 10), "a whole number from 1 to 2^40")
 	}
 }
 
