suspect: Bound the servers that one request can take down

Cause: a request that crashes its server was tried again by its router and sent again by its caller until no server was left.

Ruled out: refusing after the first crash (innocents that ran beside it would be refused too); counting crashes by router (callers change routers).

Change: when a run breaks off and the server does not answer a probe, the agent notes the fingerprints of all runs inside as suspected. Entries go with the answer's end to the router, over the offers to all other routers and with their batches to all other agents; a version that follows the clock settles which is newer, and life is carried as remaining time. A suspected request runs alone: the agent stops filling for at most 1 s, every 5 s, so that neither side starves. A death while it runs alone confirms it: it is refused everywhere for five minutes, at once and with the time to come back. A run to the end clears it. A server that does not answer is out of use at once, not at the next probe.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,6 +8,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/invariant"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -52,6 +53,8 @@
 	EndedLife clock.Millis
 	// TicketLimit is the most tickets of one team.
 	TicketLimit int
+	// Suspects knows the requests that run alone or not at all; nil for none.
+	Suspects *suspect.List
 	// Invariants takes violations; the zero value panics.
 	Invariants invariant.Checker
 }
@@ -85,6 +88,8 @@
 	deadline clock.Millis
 	// charged is what the team was charged so far, in service units.
 	charged int64
+	// alone says that nothing else is inside the server while the offer holds its slot.
+	alone bool
 }
 
 // holdsSlot reports whether the offer occupies a slot.
@@ -113,6 +118,8 @@
 	serverDown bool
 	// keyedHeld means that keyed tickets are passed over.
 	keyedHeld bool
+	// lone keeps the turns of suspected requests.
+	lone loneTurn
 	// count numbers the offers.
 	count int64
 }
@@ -139,16 +146,20 @@
 }
 
 // Leave adds a router's ticket, or renews it. A ticket whose offer is out already is not needed. It reports
-// false when the team's queue is full or the agent is draining.
+// false when the team's queue is full, the request is poison or the agent is draining.
 func (c *Controller) Leave(now clock.Millis, router string, t ticket.Ticket) bool {
 	ref := ticket.Ref{Router: router, Request: t.Request}
 	if c.hasLive(ref, t.Attempt) {
 		return true
 	}
+	c.noteFlag(now, t.Fingerprint, t.Suspect)
 	if w, ok := c.byRef[ref]; ok {
 		w.t = t
 		return true
 	}
+	if c.o.Suspects.Kind(now, t.Fingerprint) == suspect.Confirmed {
+		return false
+	}
 	if c.draining || len(c.queues[t.Team]) >= c.o.TicketLimit {
 		return false
 	}
@@ -214,11 +225,11 @@
 func (c *Controller) Fill(now clock.Millis) []ticket.Offer {
 	var out []ticket.Offer
 	for c.Free() > 0 {
-		w := c.next(now)
+		w, alone := c.pick(now)
 		if w == nil {
 			return out
 		}
-		out = append(out, c.offer(now, w))
+		out = append(out, c.offer(now, w, alone))
 	}
 	return out
 }
@@ -254,6 +265,11 @@
 		c.release(now, o, Withdrawn)
 		return &RefusedError{Offer: id, State: Withdrawn, Reason: "deadline"}
 	}
+	if err := c.checkStart(now, o); err != nil {
+		return err
+	}
+	c.o.Invariants.Checkf(c.lone.running == nil || c.lone.running == o && c.inUse == 1, "suspect_alone",
+		"offer %s starts beside a suspected request", id)
 	c.move(now, o, Started)
 	return nil
 }
@@ -311,7 +327,7 @@
 
 // Free returns how many slots may be offered now.
 func (c *Controller) Free() int {
-	if c.draining || c.serverDown {
+	if c.draining || c.serverDown || c.lone.running != nil {
 		return 0
 	}
 	return max(0, c.limit-c.inUse)
@@ -328,18 +344,18 @@
 
 // next returns the ticket to serve now, or nil.
 func (c *Controller) next(now clock.Millis) *waiting {
-	candidates := c.candidates()
+	candidates := c.candidates(now)
 	if len(candidates) == 0 {
 		return nil
 	}
 	i := c.o.Order.Next(now, candidates)
-	return c.first(c.queues[candidates[i].Team])
+	return c.first(now, c.queues[candidates[i].Team])
 }
 
-func (c *Controller) candidates() []laburnumring.Candidate {
+func (c *Controller) candidates(now clock.Millis) []laburnumring.Candidate {
 	out := make([]laburnumring.Candidate, 0, len(c.queues))
 	for name, q := range c.queues {
-		if w := c.first(q); w != nil {
+		if w := c.first(now, q); w != nil {
 			out = append(out, laburnumring.Candidate{Team: name, Since: w.since})
 		}
 	}
@@ -352,7 +368,7 @@
 	return out
 }
 
-func (c *Controller) offer(now clock.Millis, w *waiting) ticket.Offer {
+func (c *Controller) offer(now clock.Millis, w *waiting, alone bool) ticket.Offer {
 	c.remove(w)
 	c.count++
 	o := &offer{
@@ -367,6 +383,10 @@
 		changed:  now,
 		deadline: w.deadline,
 		charged:  w.t.Cost,
+		alone:    alone,
+	}
+	if alone {
+		c.lone.running = o
 	}
 	c.offers[o.message.ID] = o
 	c.live[w.ref] = append(c.live[w.ref], o)
@@ -399,6 +419,10 @@
 	c.move(now, o, s)
 	c.inUse--
 	c.forgetLive(o)
+	if c.lone.running == o {
+		c.lone.running = nil
+		c.passTurn(now)
+	}
 	if s == Withdrawn {
 		c.o.Order.Charge(o.t.Team, -o.charged)
 		o.charged = 0
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,6 +25,7 @@
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -114,6 +115,8 @@
 	liveSince clock.Millis
 	// serverUp is what the last probe said.
 	serverUp bool
+	// suspects knows the requests that take servers down; it is guarded by mu.
+	suspects *suspect.List
 }
 
 // startedRun is a run and what the agent must remember with it.
@@ -148,6 +151,7 @@
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
 		served:   make(map[string]int64),
+		suspects: suspect.New(suspect.Options{}),
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
@@ -158,6 +162,7 @@
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
 		Order:       order,
+		Suspects:    a.suspects,
 		Invariants:  o.Logger.Invariants(a.metrics.violations.Inc),
 	})
 	a.admission.SetServerUp(false)
@@ -259,6 +264,7 @@
 		a.tickRun(now, id, s)
 	}
 	a.boundKept()
+	a.suspects.Prune(now)
 	a.admission.Tick(now)
 	a.tickClaims(now)
 	a.fill(now)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -21,7 +21,11 @@
 	if _, ok := a.sessions[args.Router]; ok {
 		a.admission.DropRouter(now, args.Router)
 	}
-	a.sessions[args.Router] = newSession(args.Router, now)
+	s := newSession(args.Router, now)
+	for _, e := range a.suspects.Entries(now) {
+		s.suspects = append(s.suspects, e.Fingerprint)
+	}
+	a.sessions[args.Router] = s
 	reply.Server = a.o.Server.Name()
 	reply.Incarnation = a.o.Incarnation
 	reply.Version = a.board.Version()
@@ -39,6 +43,7 @@
 		return fmt.Errorf("router %s has no session", args.Router)
 	}
 	s.seen = now
+	a.learn(now, args.Router, args.Suspects)
 	for _, id := range args.Decline {
 		a.admission.WithdrawOffer(now, id)
 	}
@@ -64,10 +69,11 @@
 	if !ok {
 		return fmt.Errorf("router %s has no session", args.Router)
 	}
-	if len(s.outbox) == 0 {
+	if len(s.outbox) == 0 && len(s.suspects) == 0 {
 		a.await(s)
 	}
 	s.seen = a.o.Clock.Now()
+	reply.Suspects = a.news(s.seen, s)
 	reply.Offers = s.outbox
 	s.outbox = nil
 	reply.Load = a.admission.InUse() + a.admission.Waiting()
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -24,7 +24,14 @@
 		defer cancel()
 		defer unblock()
 		err := a.o.Backend.Run(ctx, backendRequest(m), s.run)
-		a.finish(m, s, endOf(err, ctx.Err()), err)
+		end := endOf(err, ctx.Err())
+		if end.Reason == reasonBrokeOff && a.looksDead() {
+			end.Reason = reasonServerDied
+		}
+		if end.Reason == reasonServerDied || end.Reason == reasonUnreachable {
+			a.setServerUp(false)
+		}
+		a.finish(m, s, end, err)
 	})
 }
 
@@ -53,6 +60,7 @@
 	now := a.o.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.blame(now, m, &end)
 	s.run.End(end)
 	s.endedAt = now
 	a.admission.End(now, m.Start.Offer, s.run.Units())
@@ -69,8 +77,15 @@
 	a.wakeIdle()
 }
 
-// reasonServerDied is the reason of a run whose backend server broke off.
-const reasonServerDied = "server_died"
+// Reasons of runs that the backend server did not end.
+const (
+	// reasonBrokeOff means that the connection broke while the request ran.
+	reasonBrokeOff = "server_broke_off"
+	// reasonServerDied means that the server does not answer any more either.
+	reasonServerDied = "server_died"
+	// reasonUnreachable means that no connection was made.
+	reasonUnreachable = "server_unreachable"
+)
 
 // endOf names the outcome of a run that ended with err under a context that was cancelled with cancelled.
 func endOf(err, cancelled error) answer.End {
@@ -86,7 +101,7 @@
 	}
 	var died *backend.DiedError
 	if errors.As(err, &died) && died.NeverSent {
-		return answer.End{Outcome: outcome.NotRun, Reason: "server_unreachable"}
+		return answer.End{Outcome: outcome.NotRun, Reason: reasonUnreachable}
 	}
-	return answer.End{Outcome: outcome.Unknown, Reason: reasonServerDied}
+	return answer.End{Outcome: outcome.Unknown, Reason: reasonBrokeOff}
 }
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -10,6 +10,8 @@
 	router string
 	// outbox holds offers that the router has not fetched.
 	outbox []ticket.Offer
+	// suspects holds the fingerprints of which the router has not heard.
+	suspects []uint64
 	// wake is closed and replaced when there is something to fetch.
 	wake chan struct{}
 	// seen is when the router last called.
--- a/internal/answer/frame.go
+++ b/internal/answer/frame.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
@@ -36,6 +37,8 @@
 	Final bool `cbor:"final,omitempty"`
 	// RetryAfter is when to come back after an outcome that is not whole.
 	RetryAfter clock.Millis `cbor:"retry_after_ms,omitempty"`
+	// Suspect is what is now held against the request, when its server died.
+	Suspect *suspect.Entry `cbor:"suspect,omitempty"`
 }
 
 // Frame is one step of an answer.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/budget"
 	"github.com/laburnumring/laburnumring/internal/invariant"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
@@ -22,6 +23,8 @@
 	Placement laburnumring.Placement
 	// TicketWindow is the most requests of one team and service that have tickets out; 64 when zero.
 	TicketWindow int
+	// Suspects knows the requests that run alone or not at all; nil for none.
+	Suspects *suspect.List
 	// Invariants takes violations; the zero value panics.
 	Invariants invariant.Checker
 }
@@ -73,8 +76,6 @@
 	avoid string
 	// bound names the server that runs the current attempt; empty while waiting.
 	bound string
-	// suspect says that a backend server died while the request ran.
-	suspect bool
 	// aborted says that the running attempt was told to stop.
 	aborted bool
 }
@@ -203,7 +204,6 @@
 		return nil
 	}
 	p.delivered = max(p.delivered, res.Delivered)
-	p.suspect = p.suspect || res.ServerDied
 	if res.Outcome == outcome.NotRun {
 		p.notRun++
 	} else {
@@ -274,6 +274,11 @@
 	if !ok {
 		return service.Service{}, &NotRunError{Reason: "service_unknown", RetryAfter: clock.Second}
 	}
+	if c.poison(now, r) {
+		return service.Service{}, &NotRunError{
+			Reason: reasonPoison, RetryAfter: c.o.Suspects.Remaining(now, r.Fingerprint),
+		}
+	}
 	g := group{team: r.Team, service: r.Service}
 	if len(c.queues[g]) >= s.QueueLimit() {
 		return service.Service{}, &NotRunError{Reason: "queue_full", RetryAfter: c.retryAfter(now, g)}
@@ -294,7 +299,7 @@
 	if res.Outcome == outcome.Whole || res.Outcome == outcome.Failed || res.Final || p.aborted {
 		return false
 	}
-	if now >= p.r.Deadline {
+	if now >= p.r.Deadline || c.poison(now, p.r) {
 		return false
 	}
 	if res.Outcome == outcome.NotRun {
@@ -338,6 +343,10 @@
 	f.Request = p.r.ID
 	c.o.Invariants.Checkf(f.Outcome != outcome.NotRun || p.tries == 0 && p.delivered == 0, "honest_refusal",
 		"request %s is called not run after %d tries", p.r.ID, p.tries)
+	if f.Outcome != outcome.Whole && c.poison(now, p.r) {
+		f.Reason = reasonPoison
+		f.RetryAfter = c.o.Suspects.Remaining(now, p.r.Fingerprint)
+	}
 	if f.Outcome != outcome.Whole && f.RetryAfter == 0 {
 		f.RetryAfter = c.retryAfter(now, p.group())
 	}
@@ -416,7 +425,7 @@
 		Remaining:   p.r.Deadline - now,
 		Keyed:       p.r.Keyed,
 		Fingerprint: p.r.Fingerprint,
-		Suspect:     p.suspect,
+		Suspect:     c.o.Suspects.Kind(now, p.r.Fingerprint) == suspect.Suspected,
 	}}
 }
 
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -35,8 +35,6 @@
 	Delivered int64
 	// Final says that another attempt cannot help: the caller is gone, or the request is refused as such.
 	Final bool
-	// ServerDied says that the backend server went away while the request ran.
-	ServerDied bool
 	// RetryAfter is when the caller should come back; 0 leaves it to the controller.
 	RetryAfter clock.Millis
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -24,6 +24,8 @@
 	RequestNotWhole     = Event{5001, log.InfoLevel, "request ended without a whole answer"}
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
+	PoisonRefused       = Event{5004, log.WarnLevel, "request refused fleet-wide as poison"}
+	RequestSuspected    = Event{4005, log.WarnLevel, "request was running when its backend server died"}
 	ShareParent         = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
 	ClaimsCurrent       = Event{7001, log.InfoLevel, "idempotency keys current"}
@@ -47,6 +49,7 @@
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
+		PoisonRefused, RequestSuspected,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
 		ShareParent,
 		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 )
 
@@ -43,6 +44,8 @@
 	Leave    []ticket.Ticket
 	Withdraw []string
 	Decline  []string
+	// Suspects holds news of requests that take servers down.
+	Suspects []suspect.Entry
 }
 
 // ExchangeReply answers a batch.
@@ -60,6 +63,8 @@
 // OffersReply carries offers and the agent's state; it is the agent's heartbeat too.
 type OffersReply struct {
 	Offers []ticket.Offer
+	// Suspects holds news of requests that take servers down.
+	Suspects []suspect.Entry
 	// Free is how many slots no ticket fills.
 	Free int
 	// Load is how many requests the agent holds, running or waiting.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/internal/transcript"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -236,6 +237,9 @@
 
 // ended is the result of an attempt whose end was received.
 func (r *Router) ended(c *call, end answer.End) dispatch.Result {
+	if end.Suspect != nil {
+		r.learn("", []suspect.Entry{*end.Suspect})
+	}
 	if end.Outcome != outcome.Whole {
 		return resultOf(end)
 	}
@@ -259,7 +263,6 @@
 		Outcome:    end.Outcome,
 		Reason:     end.Reason,
 		Final:      end.Final,
-		ServerDied: end.Reason == "server_died",
 		RetryAfter: end.RetryAfter,
 	}
 }
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -95,7 +95,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.open = true
-	l.outbox = peer.ExchangeArgs{Router: r.id}
+	l.outbox = peer.ExchangeArgs{Router: r.id, Suspects: r.suspects.Entries(now)}
+	l.signal()
 	if r.membership.Answered(l.server, reply.Incarnation) {
 		r.o.Logger.Log(event.AgentReady, "server", l.server, "incarnation", reply.Incarnation)
 		r.do(r.dispatch.AgentReady(now, l.server))
@@ -137,6 +138,7 @@
 
 func (l *link) take(reply peer.OffersReply) {
 	r := l.r
+	r.learn(l.server, reply.Suspects)
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -180,7 +182,7 @@
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
 	batch := l.outbox
-	if len(batch.Leave)+len(batch.Withdraw)+len(batch.Decline) == 0 {
+	if len(batch.Leave)+len(batch.Withdraw)+len(batch.Decline)+len(batch.Suspects) == 0 {
 		return peer.ExchangeArgs{}
 	}
 	l.outbox = peer.ExchangeArgs{Router: l.r.id}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -11,6 +11,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	// suspects is how many fingerprints the router knows from servers' deaths.
+	suspects prometheus.Gauge
 	// violations counts broken invariants.
 	violations prometheus.Counter
 	duration   *prometheus.HistogramVec
@@ -38,7 +40,11 @@
 		Name: "laburnumring_router_invariants_broken_total",
 		Help: "Invariants that the process found broken.",
 	})
-	m.registry.MustRegister(m.violations, m.requests, m.duration)
+	m.suspects = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "laburnumring_router_suspects",
+		Help: "Requests known to have run while a backend server died.",
+	})
+	m.registry.MustRegister(m.suspects, m.violations, m.requests, m.duration)
 	return m
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	"github.com/laburnumring/laburnumring/internal/placement"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/subset"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -96,7 +97,9 @@
 	config     *configuration.Controller
 	membership *membership.Controller
 	dispatch   *dispatch.Controller
-	subset     *subset.Controller
+	// suspects knows the requests that take servers down.
+	suspects *suspect.List
+	subset   *subset.Controller
 	// links holds the connection to each configured agent, by server name.
 	links map[string]*link
 	// calls holds the callers that wait, by request id.
@@ -122,6 +125,7 @@
 	}
 	b := board.New()
 	m := newMetrics()
+	suspects := suspect.New(suspect.Options{})
 	r := &Router{
 		o:          o,
 		id:         o.Name + "." + o.Incarnation,
@@ -133,7 +137,9 @@
 		board:      b,
 		config:     configuration.New(b),
 		membership: membership.New(b),
+		suspects:   suspects,
 		dispatch: dispatch.New(dispatch.Options{
+			Suspects:   suspects,
 			Board:      b,
 			Placement:  placement.For(o.Policy, o.Rand, ticketsPerRequest),
 			Invariants: o.Logger.Invariants(m.violations.Inc),
