--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,7 @@
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
+	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -117,6 +118,8 @@
 	orders *orders
 	// serverUp is what the last probe said.
 	serverUp bool
+	// suspects knows the requests that take servers down; it is guarded by mu.
+	suspects *suspect.List
 }
 
 // startedRun is a run and what the agent must remember with it.
@@ -152,6 +155,7 @@
 		claims:   newClaims(o),
 		served:   make(map[string]int64),
 		orders:   &orders{c: order.New()},
+		suspects: suspect.New(suspect.Options{}),
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
@@ -162,6 +166,7 @@
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
 		Order:       order,
+		Suspects:    a.suspects,
 		Invariants:  o.Logger.Invariants(a.metrics.violations.Inc),
 	})
 	a.admission.SetServerUp(false)
@@ -263,6 +268,7 @@
 		a.tickRun(now, id, s)
 	}
 	a.boundKept()
+	a.suspects.Prune(now)
 	a.admission.Tick(now)
 	a.tickClaims(now)
 	a.fill(now)
--- a/internal/commands/order.go
+++ b/internal/commands/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/platform"
@@ -82,6 +84,7 @@
 func registerOrderSend(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
 	cmd := orderCommand(app).Command("send", "Give an order to a model engine through its agent.")
 	flags := newLeaseFlags(cmd)
+	operator := newOperatorFlags(cmd)
 	agent := cmd.Flag("agent", "The IP address and port of the agent beside the server.").Required().String()
 	fence := cmd.Flag("fence", "The fencing number of a lease taken before; one is taken when not given.").Default("-1").Int64()
 	version := cmd.Flag("version", "The version of the model or adapter.").String()
@@ -91,28 +94,31 @@
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, *flags.limit)
 		defer cancel()
+		cfg, err := operator.tls(keys.Agent)
+		if err != nil {
+			return err
+		}
 		args := peer.OrderArgs{
 			Server: *flags.server,
 			Fence:  *fence,
 			Order:  laburnumring.Order{Kind: laburnumring.OrderKind(*kind), Name: *name, Version: *version},
 		}
 		if args.Fence < 0 {
-			var err error
 			if args.Fence, err = flags.take(ctx); err != nil {
 				return err
 			}
 		}
-		if err := sendOrder(ctx, *agent, args); err != nil {
+		if err := sendOrder(ctx, *agent, cfg, args); err != nil {
 			return err
 		}
-		_, err := fmt.Fprintf(env.stdout, "carried out with fencing number %d\n", args.Fence)
+		_, err = fmt.Fprintf(env.stdout, "carried out with fencing number %d\n", args.Fence)
 		return err
 	}
 }
 
 // sendOrder gives an order to an agent. An answer that is not whole is an error of type *orderError.
-func sendOrder(ctx context.Context, address string, args peer.OrderArgs) error {
-	client, err := peer.Dial(ctx, address, nil, &traffic.Counter{})
+func sendOrder(ctx context.Context, address string, cfg *tls.Config, args peer.OrderArgs) error {
+	client, err := peer.Dial(ctx, address, cfg, &traffic.Counter{})
 	if err != nil {
 		return err
 	}
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"time"
@@ -14,7 +13,6 @@
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/status"
 	"github.com/laburnumring/laburnumring/internal/traffic"
-	"github.com/laburnumring/laburnumring/pkg/document"
 	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
@@ -26,9 +24,8 @@
 	addresses []string
 	log       string
 	json      bool
-	insecure  bool
 	limit     time.Duration
-	keys      keys.Options
+	operator  *operatorFlags
 	view      status.View
 }
 
@@ -42,10 +39,7 @@
 	order := cmd.Flag("sort", "Order of the tables: trouble, service or name.").
 		Default(string(status.ByTrouble)).Enum(status.Orders()...)
 	cmd.Flag("timeout", "How long to wait for each process.").Default("2s").DurationVar(&o.limit)
-	cmd.Flag("certificate", "The operator's certificate.").StringVar(&o.keys.Certificate)
-	cmd.Flag("key", "The key of the certificate.").StringVar(&o.keys.Key)
-	cmd.Flag("authority", "The site's authority.").StringVar(&o.keys.Authority)
-	cmd.Flag("insecure-loopback", "Ask processes on loopback without TLS.").BoolVar(&o.insecure)
+	o.operator = newOperatorFlags(cmd)
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		o.view.Order = status.Order(*order)
 		return showStatus(ctx, env, o)
@@ -53,7 +47,7 @@
 }
 
 func showStatus(ctx context.Context, env *environment, o statusOptions) error {
-	cfg, err := o.tls()
+	cfg, err := o.operator.tls(keys.Router, keys.Agent)
 	if err != nil {
 		return err
 	}
@@ -74,23 +68,6 @@
 	return err
 }
 
-// tls returns the operator's side of connections; nil without TLS.
-func (o statusOptions) tls() (*tls.Config, error) {
-	if o.insecure {
-		return nil, nil
-	}
-	if o.keys.Certificate == "" || o.keys.Key == "" || o.keys.Authority == "" {
-		return nil, &document.FieldError{
-			File: "arguments", Field: "certificate, key, authority", Allowed: "three PEM files, unless --insecure-loopback is given",
-		}
-	}
-	k, err := keys.Load(o.keys)
-	if err != nil {
-		return nil, err
-	}
-	return k.Client(keys.Router, keys.Agent), nil
-}
-
 // all returns the addresses given and those of the configuration's agents.
 func (o statusOptions) all(ctx context.Context) ([]string, error) {
 	if o.log == "" {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -13,6 +13,8 @@
 type metrics struct {
 	registry *prometheus.Registry
 	requests *prometheus.CounterVec
+	// suspects is how many fingerprints the router knows from servers' deaths.
+	suspects prometheus.Gauge
 	// violations counts broken invariants.
 	violations prometheus.Counter
 	duration   *prometheus.HistogramVec
@@ -45,7 +47,11 @@
 	})
 	m.teams = label.New("team", m.requests, m.duration)
 	m.services = label.New("service", m.requests, m.duration)
-	m.registry.MustRegister(m.violations, m.requests, m.duration)
+	m.suspects = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "laburnumring_router_suspects",
+		Help: "Requests known to have run while a backend server died.",
+	})
+	m.registry.MustRegister(m.suspects, m.violations, m.requests, m.duration)
 	return m
 }
 
