order: Let only the newest lease's holder give orders to a model engine

Cause: an order of a paused and resumed holder would reach engines that ignore fencing numbers; there was no way to give orders at all.

The stand-in engine takes orders and checks numbers or not by an option.

Conclusion: an order with an old number changes nothing with either kind of engine. Not covered: a second agent process beside one engine, and an order of unknown result that an engine carries out late.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
@@ -108,6 +109,8 @@
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
 	claims *claims
+	// orders has a lock of its own.
+	orders *orders
 	// served holds the service units of requests that ended, by team label.
 	served map[string]int64
 	// liveSince is when the configuration in force came into force here.
@@ -147,6 +150,7 @@
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 		claims:   newClaims(o),
+		orders:   &orders{c: order.New()},
 		served:   make(map[string]int64),
 	}
 	if a.o.SharePeriod == 0 {
--- /dev/null
+++ b/internal/agent/order.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/backend"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/order"
+	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/outcome"
+)
+
+const (
+	// orderTimeout bounds one order, from its turn to the engine's answer.
+	orderTimeout = 30 * time.Second
+	// orderReadLimit is the oldest reading of the leases under which an order may be passed on.
+	orderReadLimit = 2 * clock.Second
+)
+
+// Reasons for which an order is not carried out.
+const (
+	reasonOtherServer = "other_server"
+	reasonNoOrders    = "no_orders"
+	reasonOrdersLog   = "order_log_unavailable"
+	reasonFenced      = "fenced"
+	reasonPaused      = "paused"
+)
+
+// orders passes orders to the backend server, one at a time.
+type orders struct {
+	// mu is held from the reading of the leases to the engine's answer, so that an order that was checked is
+	// over before a later lease's order is looked at.
+	mu sync.Mutex
+	c  *order.Controller
+}
+
+// Order passes an order to the model engine if its sender has the newest lease.
+func (c *calls) Order(args peer.OrderArgs, reply *peer.OrderReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	*reply = c.a.order(ctx, args)
+	c.a.o.Logger.Log(event.OrderEnded, "kind", args.Order.Kind, "name", args.Order.Name, "fence", args.Fence,
+		"outcome", reply.Outcome, "reason", reply.Reason)
+	return nil
+}
+
+func (a *Agent) order(ctx context.Context, args peer.OrderArgs) peer.OrderReply {
+	engine, ok := a.o.Backend.(laburnumring.Orderer)
+	if !ok {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: reasonNoOrders}
+	}
+	if args.Server != a.o.Server.Name() {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: reasonOtherServer}
+	}
+	a.orders.mu.Lock()
+	defer a.orders.mu.Unlock()
+	if refused, ok := a.checkOrder(ctx, args); !ok {
+		return refused
+	}
+	return orderReply(engine.Order(ctx, args.Fence, args.Order))
+}
+
+// checkOrder reads the leases to their end and refuses an order without the newest one; callers hold orders.mu.
+func (a *Agent) checkOrder(ctx context.Context, args peer.OrderArgs) (peer.OrderReply, bool) {
+	begun := a.o.Clock.Now()
+	if _, err := order.Read(ctx, a.o.Log, a.orders.c); err != nil {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: reasonOrdersLog}, false
+	}
+	var fenced *order.FencedError
+	if errors.As(a.orders.c.Check(args.Server, args.Fence), &fenced) {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: reasonFenced, Newest: fenced.Newest}, false
+	}
+	if a.o.Clock.Now()-begun > orderReadLimit {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: reasonPaused}, false
+	}
+	return peer.OrderReply{}, true
+}
+
+// orderReply names the outcome of an order that was passed on.
+func orderReply(err error) peer.OrderReply {
+	if err == nil {
+		return peer.OrderReply{Outcome: outcome.Whole}
+	}
+	var status *backend.StatusError
+	if errors.As(err, &status) {
+		return peer.OrderReply{Outcome: outcome.Failed, Reason: "engine_refused"}
+	}
+	var died *backend.DiedError
+	if errors.As(err, &died) && died.NeverSent {
+		return peer.OrderReply{Outcome: outcome.NotRun, Reason: "server_unreachable"}
+	}
+	return peer.OrderReply{Outcome: outcome.Unknown, Reason: reasonServerDied}
+}
--- /dev/null
+++ b/internal/backend/order.go
@@ -0,0 +1,40 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"github.com/laburnumring/laburnumring"
+)
+
+const (
+	// FenceHeader carries the fencing number of an order.
+	FenceHeader = "Fencing-Number"
+	// OrdersPath takes orders on a model engine.
+	OrdersPath = "/v1/orders"
+)
+
+var _ laburnumring.Orderer = (*Model)(nil)
+
+// Order implements laburnumring.Orderer. Its errors are of type *DiedError or *StatusError.
+func (m *Model) Order(ctx context.Context, fence int64, o laburnumring.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	h := http.Header{}
+	h.Set(FenceHeader, strconv.FormatInt(fence, 10))
+	r := laburnumring.BackendRequest{ContentType: "application/json", Body: body}
+	resp, err := m.send(ctx, http.MethodPost, OrdersPath, r, h)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{Address: m.address, Status: resp.StatusCode}
+	}
+	return nil
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -32,6 +32,7 @@
 	ClaimRecordBad      = Event{7004, log.WarnLevel, "claim record ignored"}
 	ClaimGap            = Event{7005, log.WarnLevel, "claim records missed"}
 	ClaimRetentionShort = Event{7006, log.WarnLevel, "log retention shorter than key window"}
+	OrderEnded          = Event{7007, log.InfoLevel, "order to backend server ended"}
 	RequestRefused      = Event{6002, log.WarnLevel, "request refused as too slow, too long or malformed"}
 	CallerUnproved      = Event{6003, log.WarnLevel, "caller's team is not proved"}
 	KeysReloaded        = Event{6004, log.InfoLevel, "keys reloaded"}
@@ -48,6 +49,7 @@
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
+		OrderEnded,
 		ShareParent,
 		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
 	}
--- a/internal/standin/commands/commands.go
+++ b/internal/standin/commands/commands.go
@@ -83,8 +83,11 @@
 	listen := cmd.Flag("listen", "IP address and port.").Required().String()
 	step := cmd.Flag("step-ms", "Time of a step with an empty batch.").Default("2").Float64()
 	each := cmd.Flag("per-request-ms", "Time that each running request adds to a step.").Default("0.1").Float64()
+	fencing := cmd.Flag("checks-fencing", "Refuse orders with an old fencing number.").Bool()
 	return cmd.FullCommand(), func(ctx context.Context) error {
-		e := engine.New(engine.Options{StepMs: *step, PerRequestMs: *each, Crash: func() { os.Exit(crashStatus) }})
+		e := engine.New(engine.Options{
+			StepMs: *step, PerRequestMs: *each, ChecksFencing: *fencing, Crash: func() { os.Exit(crashStatus) },
+		})
 		return httpserve.Run(ctx, *listen, e.Handler(), untilDone)
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -26,6 +26,8 @@
 	PerRequestMs float64
 	// Control holds the faults.
 	Control *control.Control
+	// ChecksFencing makes the engine refuse orders with an old fencing number.
+	ChecksFencing bool
 	// Crash is called when a request holds the crash mark; it does not return in a real process.
 	Crash func()
 }
@@ -44,6 +46,8 @@
 // Engine is one model engine. It is safe for concurrent use.
 type Engine struct {
 	o Options
+	// orders takes orders.
+	orders *orders
 
 	mu sync.Mutex
 	// running is how many requests are in the batch.
@@ -57,7 +61,7 @@
 	if o.Control == nil {
 		o.Control = &control.Control{}
 	}
-	return &Engine{o: o, runs: make(map[string]int)}
+	return &Engine{o: o, orders: &orders{checks: o.ChecksFencing}, runs: make(map[string]int)}
 }
 
 // Token returns the i-th token of the answer to text.
@@ -80,6 +84,7 @@
 	m.Handle("/control", e.o.Control).Methods(http.MethodPost)
 	m.Handle(backend.GeneratePath, e.o.Control.Wrap(http.HandlerFunc(e.generate))).Methods(http.MethodPost)
 	m.Handle(backend.HealthPath, e.o.Control.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})))
+	m.Handle(backend.OrdersPath, e.o.Control.Wrap(e.orders))
 	m.HandleFunc("/runs", e.serveRuns)
 	return m
 }
