--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -149,13 +149,13 @@
 		config:   configuration.New(b),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
-		claims:   newClaims(o),
 		orders:   &orders{c: order.New()},
 		served:   make(map[string]int64),
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
 	}
+	a.claims = newClaims(o, a.metrics)
 	order, fleet := a.newOrder()
 	a.fleet = fleet
 	a.admission = admission.New(admission.Options{
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -9,6 +9,7 @@
 	"github.com/laburnumring/laburnumring/internal/answer"
 	"github.com/laburnumring/laburnumring/internal/claim"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -45,11 +46,16 @@
 	// toAppend and toRead have room for one signal that a claim was requested.
 	toAppend chan struct{}
 	toRead   chan struct{}
+	// invariants takes violations.
+	invariants invariant.Checker
+	metrics    *claimMetrics
 }
 
 // claimant is a request that waits for its claim.
 type claimant struct {
 	m peer.StartMessage
+	// since is when the claim was requested.
+	since clock.Millis
 	// result has room for the one result.
 	result chan claimResult
 }
@@ -60,14 +66,19 @@
 	err error
 }
 
-func newClaims(o Options) *claims {
+func newClaims(o Options, m *metrics) *claims {
+	invariants := o.Logger.Invariants(m.violations.Inc)
 	return &claims{
-		c:        claim.New(claim.Options{Agent: o.Incarnation, Retention: o.LogRetention}),
-		waiters:  make(map[string]*claimant),
-		runs:     make(map[string]string),
-		state:    claim.Loading,
-		toAppend: make(chan struct{}, 1),
-		toRead:   make(chan struct{}, 1),
+		c: claim.New(claim.Options{
+			Agent: o.Incarnation, Retention: o.LogRetention, Invariants: invariants,
+		}),
+		waiters:    make(map[string]*claimant),
+		runs:       make(map[string]string),
+		state:      claim.Loading,
+		toAppend:   make(chan struct{}, 1),
+		toRead:     make(chan struct{}, 1),
+		invariants: invariants,
+		metrics:    newClaimMetrics(m.registry),
 	}
 }
 
@@ -108,7 +119,7 @@
 	if err := a.admission.Accept(now, m.Start); err != nil {
 		return nil, err
 	}
-	w := &claimant{m: m, result: make(chan claimResult, 1)}
+	w := &claimant{m: m, since: now, result: make(chan claimResult, 1)}
 	if err := a.claims.c.Request(now, entryOf(m)); err != nil {
 		w.result <- a.claimRefused(now, m, err)
 		return w, nil
@@ -145,6 +156,7 @@
 			continue
 		}
 		delete(a.claims.waiters, d.ID)
+		a.claims.metrics.decided(a.o.Server.Service(), w.m.Start.Team, now-w.since)
 		if d.Err != nil {
 			w.result <- a.claimRefused(now, w.m, d.Err)
 			continue
@@ -157,7 +169,7 @@
 func (a *Agent) claimWon(now clock.Millis, m peer.StartMessage) claimResult {
 	key := claim.Digest(m.Start.Key)
 	if first, ok := a.claims.runs[key]; ok {
-		a.o.Logger.Log(event.InvariantBroken, "invariant", "a key starts once", "offer", m.Start.Offer, "first", first)
+		a.claims.invariants.Checkf(false, "key_starts_once", "offer %s after offer %s", m.Start.Offer, first)
 		a.admission.WithdrawOffer(now, m.Start.Offer)
 		return claimResult{err: &claim.RefusedError{ID: m.Start.Offer, Reason: claim.ReasonClaimed}}
 	}
@@ -178,7 +190,11 @@
 	a.admission.WithdrawOffer(now, m.Start.Offer)
 	a.fill(now)
 	var refused *claim.RefusedError
-	if !errors.As(err, &refused) || refused.Reason != claim.ReasonClaimed {
+	if !errors.As(err, &refused) {
+		return claimResult{err: err}
+	}
+	a.claims.metrics.refused(a.o.Server.Service(), m.Start.Team, refused.Reason)
+	if refused.Reason != claim.ReasonClaimed {
 		return claimResult{err: err}
 	}
 	s, ok := a.started[a.claims.runs[claim.Digest(m.Start.Key)]]
--- a/internal/agent/claims_test.go
+++ b/internal/agent/claims_test.go
@@ -65,6 +65,21 @@
 	return n
 }
 
+// noViolations asks the agents whether they found an invariant broken.
+func (b *bench) noViolations() {
+	for _, a := range b.agents {
+		resp, err := http.Get("http://" + a.address + "/metrics")
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || !strings.Contains(string(data), "\nlaburnumring_agent_invariants_broken_total 0\n") {
+			b.t.Errorf("agent at %s found a broken invariant, or does not say: %v", a.address, err)
+		}
+	}
+}
+
 func (b *bench) want(what string, got ended, want ...ended) {
 	b.t.Helper()
 	for _, w := range want {
@@ -112,6 +127,15 @@
 		"slow log":      func(b *bench) { b.log.Set(control.Faults{DelayMs: 20}) },
 		"outage":        func(b *bench) { b.log.Set(control.Faults{Down: true}) },
 		"agent restart": func(b *bench) { b.restartAgent(0) },
+		"both agents restart while replies are lost": func(b *bench) {
+			b.log.Set(control.Faults{LoseReplies: 25})
+			b.restartAgent(0)
+			b.restartAgent(1)
+		},
+		"agent restarts on a slow log": func(b *bench) {
+			b.log.Set(control.Faults{DelayMs: 20})
+			b.restartAgent(1)
+		},
 	}
 	for name, fault := range faults {
 		t.Run(name, func(t *testing.T) {
@@ -134,6 +158,7 @@
 			if s.RanTwice > 0 || s.WrongAnswers > 0 || s.RanAfterNotRun > 0 {
 				t.Errorf("broken: %+v", s)
 			}
+			b.noViolations()
 		})
 	}
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 
+	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -33,6 +34,8 @@
 	MaxAge clock.Millis
 	// MinFlush is the least time between two appends; ten milliseconds when zero.
 	MinFlush clock.Millis
+	// Invariants takes violations; the zero value panics.
+	Invariants invariant.Checker
 	// AppendsPerSecond is the budget of all agents of the stream together; 100 when zero.
 	AppendsPerSecond int
 }
--- a/internal/claim/page.go
+++ b/internal/claim/page.go
@@ -140,10 +140,12 @@
 	if now-p.since > c.o.MaxAge {
 		return c.giveUp(e, ReasonUnavailable)
 	}
-	delete(c.pending, e.ID)
-	if h, ok := c.x.holder(e.Key); !ok || h.ID != e.ID {
-		panic("claim " + e.ID + " would start without its key")
+	h, _ := c.x.holder(e.Key)
+	c.o.Invariants.Checkf(h.ID == e.ID, "key_held", "claim %s would start while %q holds its key", e.ID, h.ID)
+	if h.ID != e.ID {
+		return c.giveUp(e, ReasonClaimed)
 	}
+	delete(c.pending, e.ID)
 	return Decision{ID: e.ID}
 }
 
--- /dev/null
+++ b/internal/order/fuzz_test.go
@@ -0,0 +1,27 @@
+package order_test
+
+import (
+	"testing"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/order"
+)
+
+// FuzzPage gives a controller records of any bytes: it goes on to the next record and nothing panics.
+func FuzzPage(f *testing.F) {
+	f.Add([]byte(`{"id":"1","server":"model-1","holder":"a","at_ms":1,"life_ms":30000}`))
+	f.Add([]byte(`{"id":1}`))
+	f.Add([]byte("\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := order.New()
+		leases := c.Page(laburnumring.Page{Next: 1, Records: []laburnumring.Record{{Data: data}}})
+		if c.Next() != 1 || !c.Current() {
+			t.Fatalf("next %d", c.Next())
+		}
+		for _, h := range leases {
+			if c.Check(h.Server, h.Fence) != nil {
+				t.Fatalf("the newest lease %+v is refused", h)
+			}
+		}
+	})
+}
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -131,6 +131,9 @@
 
 // statusOf returns the HTTP status of an outcome that is not whole.
 func statusOf(f dispatch.Finish) int {
+	if status, ok := keyStatus(f.Reason); ok {
+		return status
+	}
 	switch f.Outcome {
 	case outcome.NotRun:
 		if f.Reason == "queue_full" {
