--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -110,12 +110,12 @@
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
 	claims *claims
+	// orders has a lock of its own.
+	orders *orders
 	// served holds the service units of requests that ended, by team label.
 	served map[string]int64
 	// liveSince is when the configuration in force came into force here.
 	liveSince clock.Millis
-	// orders has a lock of its own.
-	orders *orders
 	// serverUp is what the last probe said.
 	serverUp bool
 	// suspects knows the requests that take servers down; it is guarded by mu.
@@ -152,14 +152,14 @@
 		config:   configuration.New(b),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
-		claims:   newClaims(o),
-		served:   make(map[string]int64),
 		orders:   &orders{c: order.New()},
+		served:   make(map[string]int64),
 		suspects: suspect.New(suspect.Options{}),
 	}
 	if a.o.SharePeriod == 0 {
 		a.o.SharePeriod = defaultSharePeriod
 	}
+	a.claims = newClaims(o, a.metrics)
 	order, fleet := a.newOrder()
 	a.fleet = fleet
 	a.admission = admission.New(admission.Options{
