docs: Write the operators' page and hold it to the code

Cause: operators had no page; metrics with team names were open to callers.

A router with control_listen serves metrics there only.

--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -50,6 +50,7 @@
 			TLS:           sec.client(keys.Agent),
 			CallerAuth:    callerMode(s.CallerAuth),
 			Gate:          sec.gate,
+			HideMetrics:   s.ControlListen != "",
 			Refusals:      sec.refusals,
 			Collectors:    sec.collectors(),
 			ShutdownLimit: s.ShutdownLimitMs.Duration(),
--- a/internal/router/control.go
+++ b/internal/router/control.go
@@ -13,7 +13,11 @@
 // ControlHandler returns the operators' interface.
 func (r *Router) ControlHandler() http.Handler {
 	m := mux.NewRouter()
-	m.Handle("/metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
+	m.Handle("/metrics", r.metricsHandler())
 	m.HandleFunc(status.Path, r.serveStatus).Methods(http.MethodGet)
 	return r.o.Gate.Allow(m, keys.Operator)
 }
+
+func (r *Router) metricsHandler() http.Handler {
+	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
+}
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -13,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
@@ -46,7 +45,9 @@
 	m := mux.NewRouter()
 	m.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("/readyz", r.serveReady)
-	m.Handle("/metrics", promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{}))
+	if !r.o.HideMetrics {
+		m.Handle("/metrics", r.metricsHandler())
+	}
 	m.HandleFunc("/v1/services/{service}", r.serveCaller)
 	m.HandleFunc("/v1/services/{service}/{path:.*}", r.serveCaller)
 	return httpserve.Guard{MaxBody: maxBody, BodyTimeout: r.o.BodyTimeout, Refusals: r.o.Refusals}.Wrap(m)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,8 @@
 	CallerAuth caller.Mode
 	// Gate lets operators in at the control interface; nil lets in loopback only.
 	Gate *keys.Gate
+	// HideMetrics leaves metrics to the control interface, away from callers.
+	HideMetrics bool
 	// Refusals takes what is refused for security's sake; a recorder of the router's own when nil.
 	Refusals *refusal.Recorder
 	// Collectors are added to the router's metrics.
--- /dev/null
+++ b/pkg/site/reference_test.go
@@ -0,0 +1,47 @@
+package site
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// TestReference holds the table of the configuration in docs/OPERATIONS.md to the printed types.
+func TestReference(t *testing.T) {
+	text, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, after, _ := strings.Cut(string(text), "## Configuration\n")
+	table, _, _ := strings.Cut(after, "\n## ")
+	var got []string
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z0-9_.]+)` \\|").FindAllStringSubmatch(table, -1) {
+		got = append(got, m[1])
+	}
+	want := fields("", reflect.TypeFor[yamlSite]())
+	slices.Sort(got)
+	slices.Sort(want)
+	if !slices.Equal(got, want) {
+		t.Errorf("docs/OPERATIONS.md has %q, the types %q", got, want)
+	}
+}
+
+// fields returns the paths of all fields of a printed type.
+func fields(prefix string, typ reflect.Type) []string {
+	var out []string
+	for f := range typ.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		out = append(out, prefix+name)
+		inner := f.Type
+		if inner.Kind() == reflect.Slice {
+			inner = inner.Elem()
+		}
+		if inner.Kind() == reflect.Struct {
+			out = append(out, fields(prefix+name+".", inner)...)
+		}
+	}
+	return out
+}
