measure: Compare the policies under load

Change: cmd/measure starts the product's processes at both sites' sizes on loopback, with engines, log, VM list and cutting proxies in its own process, and puts the same open-loop arrivals on each policy. Service, waits and busy slots come from the stand-ins. One JSON object a line.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.12.0
 GOLANGCI := .tools/golangci-lint
 
-.PHONY: build demo check format lint test examples fmt soak
+.PHONY: measure build demo check format lint test examples fmt soak
 
 build:
 	go build -o bin/ ./cmd/...
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -104,6 +104,7 @@
 	a := l.a
 	a.mu.Lock()
 	a.fleet.SetWaiting(a.admission.Teams())
+	a.fleet.Tick(a.o.Clock.Now())
 	r := a.fleet.Report(name)
 	a.mu.Unlock()
 	var reply share.Reply
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -30,6 +30,8 @@
 	ChecksFencing bool
 	// Crash is called when a request holds the crash mark; it does not return in a real process.
 	Crash func()
+	// Observer is told what the engine does; it may be nil.
+	Observer Observer
 }
 
 // Prompt is the body of a request.
@@ -104,6 +106,8 @@
 	}
 	e.enter(r.Header.Get(backend.RequestIDHeader))
 	defer e.leave()
+	e.observer().Started(p)
+	defer e.observer().Ended(p)
 	from, _ := strconv.Atoi(r.Header.Get(backend.ResumeHeader))
 	e.stream(w, r, p, from)
 }
@@ -123,6 +127,7 @@
 		if r.Context().Err() != nil {
 			return
 		}
+		e.observer().Token(p)
 		_ = enc.Encode(backend.Line{Text: Token(text, i)[skip:], Units: 1})
 		skip = 0
 		if rc.Flush() != nil {
