admission: Hold the time between tokens under a target

Cause: the load report lags and an older system's requests on the same server are unseen, so a fixed number of slots lets tokens come too slowly.

Change: internal/admission.Limit lowers the requests inside the server in proportion when the agent's own requests see their units come slower than token_target_ms, and raises it one by one when there is room. The measurement names teams by header now and fails when nothing runs.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,8 @@
 	Policy laburnumring.Policy
 	// SharePeriod is the time between two reports to the parent; 250 ms when zero.
 	SharePeriod time.Duration
+	// TokenTarget is the longest time between two tokens of a request; 0 for none.
+	TokenTarget clock.Millis
 	// ShareLead is the most weighted service units by which a waiting team's counter may lead.
 	ShareLead int64
 	// TLS is used towards other agents; nil means no TLS, which is for loopback only.
@@ -106,6 +108,8 @@
 	sessions  map[string]*session
 	// fleet is the fleet-wide order of teams; nil under a policy without one. It is guarded by mu.
 	fleet *share.Fleet
+	// limit is the most requests inside the backend server. It is guarded by mu.
+	limit *admission.Limit
 	// started holds runs by offer, from start until keepRuns after their end.
 	started map[string]*startedRun
 	// claims holds what keyed requests need.
@@ -162,6 +166,7 @@
 	a.claims = newClaims(o, a.metrics)
 	order, fleet := a.newOrder()
 	a.fleet = fleet
+	a.limit = a.newLimit()
 	a.admission = admission.New(admission.Options{
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
@@ -270,6 +275,7 @@
 	a.boundKept()
 	a.suspects.Prune(now)
 	a.admission.Tick(now)
+	a.adaptLimit(now)
 	a.tickClaims(now)
 	a.fill(now)
 }
@@ -283,6 +289,7 @@
 		return
 	}
 	a.admission.Charge(id, s.run.Units())
+	a.limit.Progress(now, id, s.run.Units())
 	if s.readers == 0 && s.cancel != nil && now-s.idleSince >= sessionLife {
 		s.cancel()
 	}
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -64,6 +64,7 @@
 	s.run.End(end)
 	s.endedAt = now
 	a.admission.End(now, m.Start.Offer, s.run.Units())
+	a.limit.Ended(m.Start.Offer)
 	if end.Outcome == outcome.NotRun {
 		a.releaseClaim(m)
 	}
--- /dev/null
+++ b/internal/agent/limit.go
@@ -0,0 +1,29 @@
+package agent
+
+import (
+	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/service"
+)
+
+// newLimit returns the limit of what is inside the backend server. Only model engines give units on the way.
+func (a *Agent) newLimit() *admission.Limit {
+	o := admission.LimitOptions{Slots: a.o.Server.Slots()}
+	if a.o.Kind == service.Model {
+		o.Target = a.o.TokenTarget
+	}
+	return admission.NewLimit(o)
+}
+
+// adaptLimit puts the limit in force; callers hold mu.
+func (a *Agent) adaptLimit(now clock.Millis) {
+	before := a.limit.Current()
+	a.limit.Adapt(now, a.admission.InUse())
+	n := a.limit.Current()
+	if n == before {
+		return
+	}
+	a.admission.SetLimit(n)
+	a.o.Logger.Log(event.LimitMoved, "limit", n)
+}
--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -40,6 +40,7 @@
 			}),
 			Kind:          s.Kind,
 			Policy:        s.Policy,
+			TokenTarget:   s.TokenTargetMs,
 			SharePeriod:   s.Share.PeriodMs.Duration(),
 			ShareLead:     s.Share.LeadUnits,
 			Incarnation:   router.NewIncarnation(),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -26,6 +26,7 @@
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
 	PoisonRefused       = Event{5004, log.WarnLevel, "request refused fleet-wide as poison"}
 	RequestSuspected    = Event{4005, log.WarnLevel, "request was running when its backend server died"}
+	LimitMoved          = Event{8002, log.DebugLevel, "limit of requests inside the backend server moved"}
 	ShareParent         = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
 	ConnectionUntrusted = Event{6001, log.WarnLevel, "connection refused"}
 	ClaimsCurrent       = Event{7001, log.InfoLevel, "idempotency keys current"}
@@ -53,7 +54,7 @@
 		PoisonRefused, RequestSuspected,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
 		OrderEnded,
-		ShareParent,
+		ShareParent, LimitMoved,
 		ConnectionUntrusted, RequestRefused, CallerUnproved, KeysReloaded, KeysUnusable, KeysExpiring,
 	}
 }
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -213,7 +213,7 @@
 
 func (c *Cluster) startAgent(s server.Server, kind service.Kind, listen string) error {
 	text := fmt.Sprintf("server: %s\nservice: %s\nplace: %s\nkind: %s\nserver_address: %s\nslots: %d\nlisten: %s\n"+
-		"log: %s\npolicy: %s\n%s",
+		"log: %s\ninsecure_loopback: true\npolicy: %s\n%s",
 		s.Name(), s.Service(), s.Place(), kind, s.Address(), s.Slots(), listen, c.platform, c.o.Policy, c.o.AgentSettings)
 	p, err := c.run(s.Name(), "agent", text)
 	if err != nil {
@@ -230,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf("name: %s\nplace: %s\nlisten: %s\nlog: %s\nvms: %s\npolicy: %s\n",
+	text := fmt.Sprintf("name: %s\nplace: %s\nlisten: %s\nlog: %s\nvms: %s\ncaller_auth: header\ninsecure_loopback: true\npolicy: %s\n",
 		name, c.o.Site.places[i%len(c.o.Site.places)], listen, c.platform, c.platform, c.o.Policy)
 	p, err := c.run(name, "router", text)
 	if err != nil {
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -129,6 +129,9 @@
 	after := c.controlBytes()
 	elapsed := time.Since(start)
 	wg.Wait()
+	if truth.first == 0 {
+		return Result{}, &idleError{Waiting: len(truth.requests)}
+	}
 	r := truth.result(s)
 	r.ControlBytes = ByRole{
 		Router: rates(before, after, c.routerNodes, elapsed),
@@ -137,6 +140,17 @@
 	return r, faultErr
 }
 
+// idleError reports a run in which no request reached an engine.
+type idleError struct {
+	// Waiting is how many requests were sent.
+	Waiting int
+}
+
+// Error implements error.
+func (e *idleError) Error() string {
+	return fmt.Sprintf("none of %d requests reached an engine", e.Waiting)
+}
+
 func inject(ctx context.Context, c *Cluster, start time.Time, faults []Fault) error {
 	for _, f := range faults {
 		if !sleepUntil(ctx, start.Add(f.At)) {
@@ -217,6 +231,8 @@
 	Gap []float64 `json:"gap"`
 	// Utilisation is the share of busy slots.
 	Utilisation []float64 `json:"utilisation"`
+	// TokenMs is the mean time between two tokens of a request over the last second, in milliseconds.
+	TokenMs []float64 `json:"token_ms"`
 	// Teams holds each team's weighted service and waiting requests.
 	Teams []TeamSeries `json:"teams"`
 }
@@ -249,6 +265,7 @@
 		out.AtMs = append(out.AtMs, v.at.Milliseconds())
 		out.Utilisation = append(out.Utilisation, float64(v.busy)/float64(s.Slots()))
 		out.Gap = append(out.Gap, spread(s, w, v))
+		out.TokenMs = append(out.TokenMs, tokenMs(t.samples[i-back:i+1]))
 	}
 	for _, team := range s.Teams() {
 		v := TeamSeries{Team: team.Name()}
@@ -261,6 +278,16 @@
 	return out
 }
 
+// tokenMs is the mean time between two tokens of a request.
+func tokenMs(samples []sample) float64 {
+	inside := 0.0
+	for i, v := range samples[1:] {
+		inside += float64(v.inside) * float64((v.at - samples[i].at).Milliseconds())
+	}
+	tokens := samples[len(samples)-1].generated - samples[0].generated
+	return inside / float64(max(1, tokens))
+}
+
 // spread is the largest difference of weighted service between teams that waited at both samples.
 func spread(s Site, from, to sample) float64 {
 	low, high, found := 0.0, 0.0, false
--- a/internal/measure/truth.go
+++ b/internal/measure/truth.go
@@ -18,6 +18,8 @@
 	requests map[string]*requestTruth
 	// busy counts the requests in each engine's batch, the older system's included.
 	busy []int
+	// generated counts the tokens of all engines, the older system's included.
+	generated int64
 	// first and again count first and further runs of requests.
 	first int
 	again int
@@ -42,7 +44,11 @@
 
 // sample is the state at one instant.
 type sample struct {
-	at      time.Duration
+	at time.Duration
+	// inside is how many requests run in all engines, and generated how many tokens they have given.
+	inside    int
+	generated int64
+	// busy is how many slots they fill.
 	busy    int
 	tokens  map[string]int64
 	waiting map[string]int
@@ -130,6 +136,7 @@
 	name, _, _ := strings.Cut(p.Text, " ")
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.generated++
 	if team, ok := t.teams[name]; ok {
 		team.tokens++
 	}
@@ -148,11 +155,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := sample{
-		at:     now.Sub(t.start),
+		at: now.Sub(t.start), generated: t.generated,
 		tokens: make(map[string]int64, len(t.teams)), waiting: make(map[string]int, len(t.teams)),
 	}
 	for _, n := range t.busy {
 		s.busy += min(n, slots)
+		s.inside += n
 	}
 	for name, v := range t.teams {
 		s.tokens[name] = v.tokens
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -81,6 +81,8 @@
 	ServerAddress string `yaml:"server_address"`
 	// Slots is the most requests inside the backend server at once.
 	Slots int `yaml:"slots"`
+	// TokenTargetMs is the longest time between two tokens of a request on a model engine; 0 for none.
+	TokenTargetMs clock.Millis `yaml:"token_target_ms"`
 	// Listen is the IP address and port for routers, agents and operators.
 	Listen string `yaml:"listen"`
 	// Log is the IP address and port of the platform's log.
@@ -148,6 +150,7 @@
 	c.format(a.LogFormat)
 	c.policy(&a.Policy)
 	c.share(&a.Share)
+	c.tokenTarget(a.TokenTargetMs)
 	c.limit(&a.ShutdownLimitMs)
 	return a, c.result()
 }
--- a/internal/settings/share.go
+++ b/internal/settings/share.go
@@ -23,6 +23,7 @@
 	maxSharePeriod     = 1 * clock.Minute
 	defaultLeadUnits   = 1 << 12
 	maxLeadUnits       = 1 << 40
+	maxTokenTarget     = 1 * clock.Minute
 )
 
 func (c *checker) share(s *Share) {
@@ -49,3 +50,9 @@
 		c.fail("policy", string(*p), "laburnumring, local_fair, round_robin or two_choices")
 	}
 }
+
+func (c *checker) tokenTarget(m clock.Millis) {
+	if m < 0 || m > maxTokenTarget {
+		c.fail("token_target_ms", strconv.FormatInt(int64(m), 10), "a whole number from 0 to 60000")
+	}
+}
