peer: Give operators an RPC path of their own

Cause: with mutual TLS the RPC path lets in routers and agents only, so that `laburnumring order send` was refused with 403.

Ruled out: letting operators on the routers' path, which would let them leave tickets and withdraw offers.

Change: /rpc/operator serves the call Order to operators' certificates only, /rpc serves it no more.

Measured: TestRolesOfCalls: operator 405 (behind the gate), router and agent 403 on the new path. TestOrders: ok.

Conclusion: an order needs an operator's certificate and the newest lease.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -21,7 +21,6 @@
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/keys"
-	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
@@ -156,7 +155,6 @@
 		config:   configuration.New(b),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
-		orders:   &orders{c: order.New()},
 		served:   make(map[string]int64),
 		suspects: suspect.New(suspect.Options{}),
 	}
@@ -182,6 +180,10 @@
 	a.follower = follower.New(follower.Options{
 		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: a.configured,
 	})
+	var err error
+	if a.orders, err = newOrders(a); err != nil {
+		return nil, err
+	}
 	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
 		return nil, fmt.Errorf("register rpc service: %w", err)
 	}
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -26,6 +26,7 @@
 	m := mux.NewRouter()
 	allow := func(h http.HandlerFunc, roles ...keys.Role) http.Handler { return a.o.Gate.Allow(h, roles...) }
 	m.Handle(peer.RPCPath, allow(a.serveRPC, keys.Router, keys.Agent))
+	m.Handle(peer.OperatorPath, allow(a.serveOperator, keys.Operator))
 	m.Handle(peer.StartPath, allow(a.serveStart, keys.Router)).Methods(http.MethodPost)
 	m.Handle(peer.ReattachPath, allow(a.serveReattach, keys.Router)).Methods(http.MethodPost)
 	m.Handle(status.Path, allow(a.serveStatus, keys.Operator))
--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
+	"net/rpc"
 	"sync"
 	"time"
 
@@ -37,10 +40,29 @@
 	// over before a later lease's order is looked at.
 	mu sync.Mutex
 	c  *order.Controller
+	// rpc serves operators.
+	rpc *rpc.Server
+}
+
+func newOrders(a *Agent) (*orders, error) {
+	o := &orders{c: order.New(), rpc: rpc.NewServer()}
+	if err := o.rpc.RegisterName(peer.OperatorService, &operatorCalls{a: a}); err != nil {
+		return nil, fmt.Errorf("register rpc service for operators: %w", err)
+	}
+	return o, nil
+}
+
+// operatorCalls is the agent's net/rpc service for operators.
+type operatorCalls struct {
+	a *Agent
+}
+
+func (a *Agent) serveOperator(w http.ResponseWriter, r *http.Request) {
+	peer.Serve(w, r, a.orders.rpc, a.counter)
 }
 
 // Order passes an order to the model engine if its sender has the newest lease.
-func (c *calls) Order(args peer.OrderArgs, reply *peer.OrderReply) error {
+func (c *operatorCalls) Order(args peer.OrderArgs, reply *peer.OrderReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	*reply = c.a.order(ctx, args)
--- a/internal/agent/order_test.go
+++ b/internal/agent/order_test.go
@@ -132,13 +132,13 @@
 	d.MaybeScanArgs(b.t, "server", &args.Server)
 	ctx, cancel := context.WithTimeout(b.t.Context(), 10*time.Second)
 	defer cancel()
-	client, err := peer.Dial(ctx, b.agents[0].address, nil, &traffic.Counter{})
+	client, err := peer.DialOperator(ctx, b.agents[0].address, nil, &traffic.Counter{})
 	if err != nil {
 		b.t.Fatal(err)
 	}
 	defer func() { _ = client.Close() }()
 	var reply peer.OrderReply
-	if err := client.Call(peer.Service+".Order", args, &reply); err != nil {
+	if err := client.Call(peer.OperatorService+".Order", args, &reply); err != nil {
 		b.t.Fatal(err)
 	}
 	return fmt.Sprintf("%s %s", reply.Outcome, reply.Reason)
--- a/internal/agent/security_test.go
+++ b/internal/agent/security_test.go
@@ -68,6 +68,7 @@
 		status map[keys.Role]int
 	}{
 		{peer.RPCPath, map[keys.Role]int{keys.Router: 405, keys.Agent: 405, keys.Operator: 403}},
+		{peer.OperatorPath, map[keys.Role]int{keys.Router: 403, keys.Agent: 403, keys.Operator: 405}},
 		{peer.StartPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
 		{peer.ReattachPath, map[keys.Role]int{keys.Router: 400, keys.Agent: 403, keys.Operator: 403}},
 		{status.Path, map[keys.Role]int{keys.Router: 403, keys.Agent: 403, keys.Operator: 200}},
--- a/internal/commands/order.go
+++ b/internal/commands/order.go
@@ -118,13 +118,13 @@
 
 // sendOrder gives an order to an agent. An answer that is not whole is an error of type *orderError.
 func sendOrder(ctx context.Context, address string, cfg *tls.Config, args peer.OrderArgs) error {
-	client, err := peer.Dial(ctx, address, cfg, &traffic.Counter{})
+	client, err := peer.DialOperator(ctx, address, cfg, &traffic.Counter{})
 	if err != nil {
 		return err
 	}
 	defer func() { _ = client.Close() }()
 	var reply peer.OrderReply
-	call := client.Go(peer.Service+".Order", args, &reply, nil)
+	call := client.Go(peer.OperatorService+".Order", args, &reply, nil)
 	select {
 	case <-ctx.Done():
 		return &orderError{Reply: peer.OrderReply{Outcome: outcome.Unknown, Reason: "deadline"}}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -21,6 +21,15 @@
 
 // Dial opens a net/rpc connection to the agent at address. A nil cfg means no TLS.
 func Dial(ctx context.Context, address string, cfg *tls.Config, c *traffic.Counter) (*rpc.Client, error) {
+	return dial(ctx, address, RPCPath, cfg, c)
+}
+
+// DialOperator opens an operator's net/rpc connection to the agent at address. A nil cfg means no TLS.
+func DialOperator(ctx context.Context, address string, cfg *tls.Config, c *traffic.Counter) (*rpc.Client, error) {
+	return dial(ctx, address, OperatorPath, cfg, c)
+}
+
+func dial(ctx context.Context, address, path string, cfg *tls.Config, c *traffic.Counter) (*rpc.Client, error) {
 	conn, err := dialConn(ctx, address, cfg)
 	if err != nil {
 		return nil, fmt.Errorf("dial agent %s: %w", address, err)
@@ -29,7 +38,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
-	if err := connect(conn); err != nil {
+	if err := connect(conn, path); err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("open rpc to agent %s: %w", address, err)
 	}
@@ -74,8 +83,8 @@
 	return fmt.Sprintf("address %s is not loopback and there is no TLS", e.Address)
 }
 
-func connect(conn net.Conn) error {
-	if _, err := io.WriteString(conn, "CONNECT "+RPCPath+" HTTP/1.0\n\n"); err != nil {
+func connect(conn net.Conn, path string) error {
+	if _, err := io.WriteString(conn, "CONNECT "+path+" HTTP/1.0\n\n"); err != nil {
 		return err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
--- a/internal/peer/order.go
+++ b/internal/peer/order.go
@@ -5,6 +5,12 @@
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
 
+// OperatorService is the name under which an agent serves operators' calls.
+const OperatorService = "Operator"
+
+// OperatorPath is the HTTP path on which an operator's connection becomes a net/rpc connection.
+const OperatorPath = "/rpc/operator"
+
 // OrderArgs is an order to the model engine beside an agent.
 type OrderArgs struct {
 	// Server is the backend server's name; an agent beside another one refuses.
