agent: Let each role make its own calls only

Cause: under TLS any certificate that reached net/rpc could make all calls: an agent could leave tickets, a router could give orders. Two tests of refusals hung on a body or header limit of 50 to 100 ms that a busy machine exceeds; make check failed once on it (body_too_long answered as body_slow).

Change: routers, agents and operators each get a net/rpc server with their own calls; without certificates, on loopback, all calls are there. The tests set short limits only for what never ends by itself, and the server under test looks at a connection when the first byte is there.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net/http"
 	"net/rpc"
 	"sync"
@@ -21,7 +20,6 @@
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/keys"
-	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/share"
@@ -91,7 +89,8 @@
 type Agent struct {
 	o       Options
 	counter *traffic.Counter
-	rpc     *rpc.Server
+	// rpc holds what holders of each role may call.
+	rpc map[keys.Role]*rpc.Server
 	// runs owns the goroutines of running requests.
 	runs sync.WaitGroup
 	// metrics counts what happens.
@@ -149,7 +148,6 @@
 	a := &Agent{
 		o:        o,
 		counter:  &traffic.Counter{},
-		rpc:      rpc.NewServer(),
 		metrics:  newMetrics(),
 		board:    b,
 		config:   configuration.New(b),
@@ -184,8 +182,8 @@
 	if a.orders, err = newOrders(a); err != nil {
 		return nil, err
 	}
-	if err := a.rpc.RegisterName(peer.Service, &calls{a: a}); err != nil {
-		return nil, fmt.Errorf("register rpc service: %w", err)
+	if err := a.registerCalls(); err != nil {
+		return nil, err
 	}
 	return a, nil
 }
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -35,10 +35,6 @@
 	return httpserve.Guard{MaxBody: maxMessage, Refusals: a.o.Refusals}.Wrap(m)
 }
 
-func (a *Agent) serveRPC(w http.ResponseWriter, r *http.Request) {
-	peer.Serve(w, r, a.rpc, a.counter)
-}
-
 // serveStart starts a request under an offer and streams its answer.
 func (a *Agent) serveStart(w http.ResponseWriter, r *http.Request) {
 	var m peer.StartMessage
--- a/internal/agent/security_test.go
+++ b/internal/agent/security_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -111,3 +112,36 @@
 		t.Errorf("missing %+v", missing)
 	}
 }
+
+// TestCallsByRole makes each net/rpc call as each role: all but the role's own do not exist for it.
+func TestCallsByRole(t *testing.T) {
+	trial, err := keys.NewTrial(t.TempDir(), time.Now(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := secureAgent(t, trial)
+	own := map[keys.Role][]string{
+		keys.Router:   {"Hello", "Exchange", "Offers", "WithdrawOffer", "Configuration"},
+		keys.Agent:    {"Share", "Configuration"},
+		keys.Operator: {"Order"},
+	}
+	all := slices.Concat(own[keys.Router], own[keys.Agent], own[keys.Operator])
+	for role, allowed := range own {
+		dial, service := peer.Dial, peer.Service
+		if role == keys.Operator {
+			dial, service = peer.DialOperator, peer.OperatorService
+		}
+		client, err := dial(t.Context(), address, issue(t, trial, role, "x").Client(keys.Agent), &traffic.Counter{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, call := range all {
+			err := client.Call(service+"."+call, struct{}{}, &struct{}{})
+			missing := err != nil && strings.Contains(err.Error(), "can't find")
+			if missing == slices.Contains(allowed, call) {
+				t.Errorf("%s as %s: error %v", call, role, err)
+			}
+		}
+		_ = client.Close()
+	}
+}
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -23,14 +23,41 @@
 )
 
 const (
-	// short ends what would else last long; no verdict depends on how much is done in it.
+	// short ends what never ends by itself; long is for what must not end by it.
 	short   = 50 * time.Millisecond
+	long    = 5 * time.Minute
 	maxBody = 100
 )
 
-// serve runs a server that answers with the error of reading the body until f returns. It returns the log and the
+// limits are the longest times of a header and a body.
+type limits struct{ header, body time.Duration }
+
+// lateListener hands out connections only when the other side has sent something.
+type lateListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &peekedConn{Conn: conn, r: bufio.NewReader(conn)}
+	_, err = c.r.Peek(1)
+	return c, err
+}
+
+// peekedConn is a connection of which the first bytes were looked at.
+type peekedConn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// Read implements net.Conn.
+func (c *peekedConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// serve runs a server that answers with the error of reading the body, within the limits, until f returns. It returns the log and the
 // metrics as they are after the shutdown.
-func serve(t *testing.T, cfg *tls.Config, f func(address string)) (string, prometheus.Collector) {
+func serve(t *testing.T, cfg *tls.Config, limits limits, f func(address string)) (string, prometheus.Collector) {
 	t.Helper()
 	var out bytes.Buffer
 	rec := refusal.New(event.NewLogger(&out, "logfmt", "test"))
@@ -46,10 +73,10 @@
 		f(ln.Addr().String())
 		return nil
 	}, httpserve.Listener{
-		Net:           ln,
-		Handler:       httpserve.Guard{MaxBody: maxBody, BodyTimeout: short, Refusals: rec}.Wrap(h),
+		Net:           lateListener{ln},
+		Handler:       httpserve.Guard{MaxBody: maxBody, BodyTimeout: limits.body, Refusals: rec}.Wrap(h),
 		TLS:           cfg,
-		HeaderTimeout: short,
+		HeaderTimeout: limits.header,
 		Refusals:      rec,
 	})
 	if err != nil {
@@ -74,24 +101,26 @@
 // TestRefusals sends what must be refused, and holds the counts and the log to it.
 func TestRefusals(t *testing.T) {
 	const head = "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+	patient := limits{header: long, body: long}
 	tests := []struct {
 		name, send string
+		limits     limits
 		// answer is a part of the response; empty when the connection ends without one.
 		answer string
 		reason refusal.Reason
 		event  string
 	}{
-		{"whole request", head + "Content-Length: 2\r\n\r\nab", "read: <nil>", "", ""},
-		{"slow header", head, "", refusal.Header, "event=6002"},
-		{"malformed header", "POST\r\n\r\n", "400 Bad Request", refusal.Header, "event=6002"},
-		{"over-long header", head + "X: " + strings.Repeat("x", 80<<10) + "\r\n\r\n", "431 Request Header", refusal.Header, "event=6002"},
-		{"slow body", head + "Content-Length: 2\r\n\r\na", "i/o timeout", refusal.BodySlow, "event=6002"},
-		{"over-long body", head + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), "body too large", refusal.BodyTooLong, "event=6002"},
+		{"whole request", head + "Content-Length: 2\r\n\r\nab", patient, "read: <nil>", "", ""},
+		{"slow header", head, limits{header: short, body: long}, "", refusal.Header, "event=6002"},
+		{"malformed header", "POST\r\n\r\n", patient, "400 Bad Request", refusal.Header, "event=6002"},
+		{"over-long header", head + "X: " + strings.Repeat("x", 80<<10) + "\r\n\r\n", patient, "431 Request Header", refusal.Header, "event=6002"},
+		{"slow body", head + "Content-Length: 2\r\n\r\na", limits{header: long, body: short}, "i/o timeout", refusal.BodySlow, "event=6002"},
+		{"over-long body", head + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), patient, "body too large", refusal.BodyTooLong, "event=6002"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var got string
-			out, rec := serve(t, nil, func(address string) { got = send(t, address, tt.send) })
+			out, rec := serve(t, nil, tt.limits, func(address string) { got = send(t, address, tt.send) })
 			if !strings.Contains(got, tt.answer) || (tt.answer == "" && got != "") {
 				t.Errorf("answer %q, want %q in it", got, tt.answer)
 			}
@@ -151,7 +180,7 @@
 	}
 	for name, client := range clients {
 		t.Run(name, func(t *testing.T) {
-			out, rec := serve(t, k.Server(true, keys.Router), client)
+			out, rec := serve(t, k.Server(true, keys.Router), limits{header: long, body: long}, client)
 			checkCounts(t, rec, refusal.Handshake)
 			if !strings.Contains(out, "event=6001") {
 				t.Errorf("log %q has no event 6001", out)
--- a/internal/router/callers_test.go
+++ b/internal/router/callers_test.go
@@ -26,8 +26,16 @@
 	"github.com/laburnumring/laburnumring/pkg/team"
 )
 
+const (
+	// short ends what never ends by itself; long is for what must not end by it.
+	short = 50 * time.Millisecond
+	long  = 5 * time.Minute
+	// slowBody is a request whose body does not go on.
+	slowBody = "POST /v1/services/pool HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 9\r\n\r\n{}"
+)
+
 // newCallersRouter returns a router that does not run, with a configuration but no agents.
-func newCallersRouter(t *testing.T, mode caller.Mode) (*Router, string) {
+func newCallersRouter(t *testing.T, mode caller.Mode, bodyTimeout time.Duration) (*Router, string) {
 	t.Helper()
 	r := New(Options{
 		Name:        "r",
@@ -36,7 +44,7 @@
 		LogTraffic:  &traffic.Counter{},
 		Logger:      event.NewLogger(io.Discard, "", "router"),
 		CallerAuth:  mode,
-		BodyTimeout: 100 * time.Millisecond,
+		BodyTimeout: bodyTimeout,
 	})
 	s := site.New("s")
 	s.AddTeams(team.New("brokers", team.Options{TokenSHA256: team.TokenDigest("secret")}), team.New("bakery", team.Options{}))
@@ -70,7 +78,6 @@
 		"bad_header (key)":  start + token + header.IdempotencyKey + ": no-uuid\r\n" + whole,
 		"bad_header (long)": start + token + header.IdempotencyKey + ": " + strings.Repeat("k", 257) + "\r\n" + whole,
 		"body_cut":          start + token + "Content-Length: 9\r\n\r\n{}",
-		"body_slow":         start + token + "Content-Length: 9\r\n\r\n{}",
 		"body_too_long":     start + token + "Content-Length: 8388609\r\n\r\n" + strings.Repeat("x", 8388609),
 	}
 }
@@ -78,9 +85,10 @@
 // TestFaultyRequests holds the answers to faulty requests to the table of docs/CALLERS.md.
 func TestFaultyRequests(t *testing.T) {
 	page := faultRows(t)
-	proof, address := newCallersRouter(t, caller.Proof)
-	_, believing := newCallersRouter(t, caller.Header)
-	_, empty := newCallersRouter(t, 0)
+	proof, address := newCallersRouter(t, caller.Proof, long)
+	_, impatient := newCallersRouter(t, caller.Proof, short)
+	_, believing := newCallersRouter(t, caller.Header, long)
+	_, empty := newCallersRouter(t, 0, long)
 	seen := map[string]bool{"certificate_unknown": true} // held by package caller
 	check := func(name, address, request string) {
 		t.Run(name, func(t *testing.T) {
@@ -92,6 +100,7 @@
 	for name, request := range faults() {
 		check(name, address, request)
 	}
+	check("body_slow", impatient, slowBody)
 	check("team_unknown", believing, faults()["bad_header"])
 	check("no_configuration", empty, faults()["bad_header"])
 	for reason := range page {
@@ -177,7 +186,7 @@
 
 // TestRefusals refuses good requests of a full queue and of a router that stops.
 func TestRefusals(t *testing.T) {
-	r, address := newCallersRouter(t, caller.Proof)
+	r, address := newCallersRouter(t, caller.Proof, long)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/router/security_test.go
+++ b/internal/router/security_test.go
@@ -40,7 +40,7 @@
 // fault.
 func TestCallersCertificate(t *testing.T) {
 	trial, other := newTrial(t), newTrial(t)
-	r, _ := newCallersRouter(t, caller.Proof)
+	r, _ := newCallersRouter(t, caller.Proof, long)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -88,7 +88,7 @@
 
 // TestControlInterface looks for status and metrics where callers and operators come.
 func TestControlInterface(t *testing.T) {
-	r, _ := newCallersRouter(t, caller.Proof)
+	r, _ := newCallersRouter(t, caller.Proof, long)
 	r.o.HideMetrics = true
 	open := r.ControlHandler()
 	r.o.Gate = keys.NewGate(true, nil)
