configuration: Follow the state of the log, not single records

Cause: a reader that started after the log dropped the winner of a version saw only the loser and adopted it. Trial on the old rule: records first, winner, loser; the log keeps the loser only; the old reader holds version 2 "winner", the new one version 2 "loser". A change that names a version which does not exist yet also took effect, the publisher read the log from the beginning at each step, and every process read the log each second.

Change: the state through an offset is a function of the records before it.

A record whose text is invalid is ignored by all and takes no version. Routers and agents level their versions over their links; routers without one ask their seeds; an agent without one offers nothing.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net/http"
 	"net/rpc"
 	"sync"
@@ -150,7 +151,7 @@
 		counter:  &traffic.Counter{},
 		metrics:  newMetrics(),
 		board:    b,
-		config:   configuration.New(b),
+		config:   configuration.New(configuration.Options{Board: b, Random: rand.Float64}),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 		served:   make(map[string]int64),
@@ -176,7 +177,8 @@
 	a.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(a.metrics.registry, "platform")
 	a.follower = follower.New(follower.Options{
-		Log: o.Log, Logger: o.Logger, Mu: &a.mu, Config: a.config, Live: a.configured,
+		Log: o.Log, Logger: o.Logger, Clock: o.Clock, Mu: &a.mu, Config: a.config, Live: a.configured,
+		Random: rand.Float64,
 	})
 	var err error
 	if a.orders, err = newOrders(a); err != nil {
@@ -334,7 +336,7 @@
 		return
 	}
 	a.serverUp = up
-	a.admission.SetServerUp(up)
+	a.setAvailable()
 	e := event.ServerDown
 	if up {
 		e = event.ServerUp
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -111,13 +111,3 @@
 	a.fill(now)
 	return nil
 }
-
-// Configuration returns the configuration in force.
-func (c *calls) Configuration(_ peer.ConfigurationArgs, reply *peer.ConfigurationReply) error {
-	a := c.a
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	reply.Version = a.config.Current().Version
-	reply.Text = []byte(a.config.Current().Text)
-	return nil
-}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -17,9 +17,9 @@
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/caller"
-	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/platform"
+	"github.com/laburnumring/laburnumring/internal/publication"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/standin/control"
 	"github.com/laburnumring/laburnumring/internal/standin/plainservice"
@@ -67,8 +67,8 @@
 	for i := range 2 {
 		b.startRouter(i)
 	}
-	p := configuration.NewPublisher(platform.NewLog(b.logAt, &traffic.Counter{}), time.Millisecond)
-	if _, err := p.Publish(t.Context(), "first", 0, text); err != nil {
+	p := publication.NewPublisher(platform.NewLog(b.logAt, &traffic.Counter{}), wallclock.New(), time.Millisecond)
+	if _, err := p.Publish(t.Context(), publication.Options{ID: "first", Text: text}); err != nil {
 		t.Fatal(err)
 	}
 	for _, address := range b.routers {
--- a/internal/agent/roles.go
+++ b/internal/agent/roles.go
@@ -34,10 +34,15 @@
 }
 
 // Configuration returns the configuration in force.
-func (r *routerCalls) Configuration(args peer.ConfigurationArgs, reply *peer.ConfigurationReply) error {
+func (r *routerCalls) Configuration(args peer.ConfigurationArgs, reply *peer.Configuration) error {
 	return r.c.Configuration(args, reply)
 }
 
+// AdoptConfiguration takes a newer configuration.
+func (r *routerCalls) AdoptConfiguration(args peer.Configuration, reply *peer.AdoptConfigurationReply) error {
+	return r.c.AdoptConfiguration(args, reply)
+}
+
 // agentCalls are the calls that another agent may make.
 type agentCalls struct{ c *calls }
 
@@ -47,7 +52,7 @@
 }
 
 // Configuration returns the configuration in force.
-func (a *agentCalls) Configuration(args peer.ConfigurationArgs, reply *peer.ConfigurationReply) error {
+func (a *agentCalls) Configuration(args peer.ConfigurationArgs, reply *peer.Configuration) error {
 	return a.c.Configuration(args, reply)
 }
 
--- a/internal/agent/security_test.go
+++ b/internal/agent/security_test.go
@@ -121,7 +121,7 @@
 	}
 	address := secureAgent(t, trial)
 	own := map[keys.Role][]string{
-		keys.Router:   {"Hello", "Exchange", "Offers", "WithdrawOffer", "Configuration"},
+		keys.Router:   {"Hello", "Exchange", "Offers", "WithdrawOffer", "Configuration", "AdoptConfiguration"},
 		keys.Agent:    {"Share", "Configuration"},
 		keys.Operator: {"Order"},
 	}
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -10,8 +10,8 @@
 	"github.com/laburnumring/laburnumring/internal/status"
 )
 
-// configured takes note of the configuration that has come into force; callers hold mu.
-func (a *Agent) configured() {
+// noteConfiguration renews what the status and the metrics take from the configuration; callers hold mu.
+func (a *Agent) noteConfiguration() {
 	a.liveSince = a.o.Clock.Now()
 	teams := a.board.Site().Teams()
 	names := make([]string, 0, len(teams))
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/laburnumring/laburnumring/internal/keys"
+	"github.com/laburnumring/laburnumring/internal/publication"
 	"github.com/laburnumring/laburnumring/pkg/document"
 )
 
@@ -21,6 +22,8 @@
 	exitFailed = 1
 	// exitUsage is for wrong arguments, settings and configurations.
 	exitUsage = 2
+	// exitUndecided is for a publication of which it is not known whether it was accepted.
+	exitUndecided = 3
 )
 
 // environment is what a command may use of the process.
@@ -64,5 +67,9 @@
 	if errors.As(err, &field) || errors.As(err, &file) {
 		return exitUsage
 	}
+	var undecided *publication.UndecidedError
+	if errors.As(err, &undecided) {
+		return exitUndecided
+	}
 	return exitFailed
 }
--- a/internal/commands/config.go
+++ b/internal/commands/config.go
@@ -9,9 +9,10 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
 
-	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/platform"
+	"github.com/laburnumring/laburnumring/internal/publication"
 	"github.com/laburnumring/laburnumring/internal/traffic"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
@@ -32,8 +33,10 @@
 func registerConfigPublish(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
 	cmd := configCommand(app).Command("publish", "Publish a configuration on the platform's log.")
 	address := cmd.Flag("log", "The IP address and port of the platform's log.").Required().String()
-	from := cmd.Flag("from", "The version that the change was made from; the current one when not given.").Default("-1").Int64()
-	limit := cmd.Flag("timeout", "How long to try.").Default("30s").Duration()
+	from := cmd.Flag("from", "The version that the change was made from; the current one when not given.").
+		Default("-1").Int64()
+	restore := cmd.Flag("restore", "Put a version in force on a log that has lost its state.").Bool()
+	limit := cmd.Flag("timeout", "How long to try.").Default("45s").Duration()
 	file := cmd.Arg("file", "The configuration file.").Required().String()
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		text, _, err := readSite(*file)
@@ -42,8 +45,11 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, *limit)
 		defer cancel()
-		p := configuration.NewPublisher(platform.NewLog(*address, &traffic.Counter{}), publishPause)
-		version, err := p.Publish(ctx, uuid.NewString(), *from, text)
+		o := publication.Options{ID: uuid.NewString(), From: *from, Text: text}
+		if *restore {
+			o.Restore = time.Now().UnixMilli()
+		}
+		version, err := newPublisher(*address).Publish(ctx, o)
 		if err != nil {
 			return err
 		}
@@ -53,19 +59,25 @@
 }
 
 func registerConfigShow(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
-	cmd := configCommand(app).Command("show", "Print the configuration that the platform's log holds.")
+	cmd := configCommand(app).Command("show", "Print the configuration in force according to the platform's log.")
 	address := cmd.Flag("log", "The IP address and port of the platform's log.").Required().String()
+	limit := cmd.Flag("timeout", "How long to try.").Default("45s").Duration()
 	return cmd.FullCommand(), func(ctx context.Context) error {
-		p := configuration.NewPublisher(platform.NewLog(*address, &traffic.Counter{}), publishPause)
-		r, err := p.Current(ctx)
+		ctx, cancel := context.WithTimeout(ctx, *limit)
+		defer cancel()
+		s, err := newPublisher(*address).State(ctx)
 		if err != nil {
 			return err
 		}
-		_, err = fmt.Fprintf(env.stdout, "# version %d\n%s", r.Version, r.Text)
+		_, err = fmt.Fprintf(env.stdout, "# version %d\n%s", s.Version, s.Text)
 		return err
 	}
 }
 
+func newPublisher(address string) *publication.Publisher {
+	return publication.NewPublisher(platform.NewLog(address, &traffic.Counter{}), wallclock.New(), publishPause)
+}
+
 // publishPause is the time between two tries to reach the log.
 const publishPause = 200 * time.Millisecond
 
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -45,6 +45,7 @@
 			Clock:         wallclock.New(),
 			Log:           platform.NewLog(s.Log, bytes),
 			VMs:           platform.NewVMs(s.VMs, bytes),
+			Seeds:         s.Seeds,
 			LogTraffic:    bytes,
 			Logger:        logger,
 			TLS:           sec.client(keys.Agent),
--- a/internal/commands/status.go
+++ b/internal/commands/status.go
@@ -8,11 +8,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/keys"
-	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/status"
-	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
@@ -73,7 +70,7 @@
 	if o.log == "" {
 		return o.addresses, nil
 	}
-	r, err := configuration.NewPublisher(platform.NewLog(o.log, &traffic.Counter{}), publishPause).Current(ctx)
+	r, err := newPublisher(o.log).State(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -1,94 +1,230 @@
 // Package configuration decides which published configuration is in force.
+//
+// The state at an offset of the stream is a function of the records before it: a change takes effect when it
+// was made from the version in force at its offset, and is valid. Snapshots and peers hand over states with
+// their offsets, so a reader never applies a change without knowing the state at the change's own offset.
 package configuration
 
 import (
-	"encoding/json"
-	"fmt"
+	"errors"
 
 	"github.com/laburnumring/laburnumring/internal/board"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/site"
 )
 
-// Stream is the log stream that holds configuration records.
-const Stream = "configuration"
-
-// Record is one entry of the stream.
-type Record struct {
-	// ID is unique to the publication; a doubled append carries it twice.
-	ID string `json:"id"`
-	// From is the version that the change was made from; 0 for the first.
-	From int64 `json:"from"`
-	// Version is the version that the change makes: From plus one.
-	Version int64 `json:"version"`
-	// Text is the whole configuration as YAML.
-	Text string `json:"text"`
+// Options are the settings of a Controller.
+type Options struct {
+	// Board takes the configuration in force.
+	Board *board.Board
+	// SnapshotInterval is the shortest time from one snapshot to the next, as long as the log keeps it.
+	SnapshotInterval clock.Millis
+	// SnapshotSpread is the time over which readers spread their snapshots when the log has lost the last; it
+	// grows with the site when zero.
+	SnapshotSpread clock.Millis
+	// Random returns numbers in [0, 1).
+	Random func() float64
 }
 
-// BadRecordError reports a record that no reader applies.
-type BadRecordError struct {
-	// Offset is the record's place in the stream.
-	Offset int64
-	// Problem says what is wrong.
-	Problem string
+// Defaults of Options.
+const (
+	defaultSnapshotInterval = 10 * clock.Minute
+	minSnapshotSpread       = 1 * clock.Second
+	maxSnapshotSpread       = 20 * clock.Second
+	// spreadPerServer is the part of the spread for each backend server of the site.
+	spreadPerServer = 20 * clock.Millis(1)
+)
+
+// Verdict is what became of a record.
+type Verdict int
+
+// The verdicts.
+const (
+	// Accepted means that the record made the version in force at its offset.
+	Accepted Verdict = iota + 1
+	// Superseded means that another change from the same version came first.
+	Superseded
+	// Invalid means that no reader applies the record.
+	Invalid
+)
+
+// Decision tells what became of one change or restore.
+type Decision struct {
+	// Offset, ID and Version are those of the record.
+	Offset  int64
+	ID      string
+	Version int64
+	Verdict Verdict
+	// Err is set for Invalid and of type *BadRecordError or *ConflictError.
+	Err error
 }
 
-// Error implements error.
-func (e *BadRecordError) Error() string {
-	return fmt.Sprintf("configuration record at offset %d: %s", e.Offset, e.Problem)
+// Controller keeps the state of the stream. It is used by one goroutine at a time.
+type Controller struct {
+	o Options
+	// state's version and offset only grow.
+	state State
+	// following means that every record from state.Through on was or can be read: next is state.Through.
+	following bool
+	// next is the offset to read from.
+	next int64
+	// first is the oldest offset that the log was seen to keep.
+	first int64
+	// end is the offset that the stream's next record had at the last read.
+	end int64
+	// read says that a batch was taken.
+	read bool
+	// snapshots schedules this reader's snapshots.
+	snapshots schedule
 }
 
-// Encode returns the record's bytes.
-func (r Record) Encode() ([]byte, error) {
-	return json.Marshal(r)
+// New returns a controller at the beginning of the stream.
+func New(o Options) *Controller {
+	if o.SnapshotInterval == 0 {
+		o.SnapshotInterval = defaultSnapshotInterval
+	}
+	return &Controller{o: o, following: true, snapshots: schedule{o: o, carrier: -1}}
 }
 
-func decode(data []byte) (Record, error) {
-	var r Record
-	err := json.Unmarshal(data, &r)
-	return r, err
+// Next returns the offset to read from.
+func (c *Controller) Next() int64 { return c.next }
+
+// State returns the newest state that is known.
+func (c *Controller) State() State { return c.state }
+
+// Site returns the configuration in force, or nil.
+func (c *Controller) Site() *site.Site { return c.o.Board.Site() }
+
+// Following reports whether no record after the state's offset was missed.
+func (c *Controller) Following() bool { return c.following }
+
+// CaughtUp reports whether the stream was read to its end.
+func (c *Controller) CaughtUp() bool { return c.read && c.next >= c.end }
+
+// Take applies a batch that was read from an offset that Next returned, and returns what was decided.
+func (c *Controller) Take(now clock.Millis, b Batch) []Decision {
+	c.first = max(c.first, b.first)
+	c.end = max(c.end, b.next)
+	c.read = true
+	if c.first > c.next {
+		c.next = c.first
+		c.following = false
+	}
+	var out []Decision
+	for _, e := range b.entries {
+		if e.offset < c.next {
+			continue
+		}
+		if e.offset > c.next {
+			break
+		}
+		c.next++
+		out = append(out, c.take(now, e)...)
+	}
+	c.snapshots.observe(now, c.first)
+	return out
 }
 
-// Controller applies records in offset order; the first change from a version wins.
-type Controller struct {
-	b *board.Board
-	// current is the record in force; its version only grows.
-	current Record
-	// won holds the id of the record that made each version that was applied.
-	won map[int64]string
+// Adopt takes the state of a peer or a snapshot and reports whether it put a new version in force. Its errors
+// are of type *ConflictError or *document.FieldError.
+func (c *Controller) Adopt(s State) (bool, error) {
+	if err := c.compare(s); err != nil {
+		return false, err
+	}
+	if s.Through <= c.state.Through {
+		return false, nil
+	}
+	if err := s.Parse(); err != nil {
+		return false, err
+	}
+	newer := s.Version > c.state.Version
+	c.set(s)
+	if s.Through >= c.first {
+		c.following = true
+		c.next = s.Through
+	}
+	return newer, nil
 }
 
-// New returns a controller that puts configurations in force on b.
-func New(b *board.Board) *Controller {
-	return &Controller{b: b, won: make(map[int64]string)}
+// compare fails when s and the state held cannot both be states of one stream.
+func (c *Controller) compare(s State) error {
+	sameVersion := s.Version == c.state.Version && s.ID != c.state.ID
+	fell := s.Through >= c.state.Through && s.Version < c.state.Version
+	rose := s.Through <= c.state.Through && s.Version > c.state.Version
+	if !sameVersion && !fell && !rose {
+		return nil
+	}
+	return &ConflictError{
+		Held: c.state.Version, HeldID: c.state.ID, HeldThrough: c.state.Through,
+		Got: s.Version, GotID: s.ID, GotThrough: s.Through,
+	}
 }
 
-// Apply takes the record at offset and reports whether it is now in force. Its errors are of type
-// *BadRecordError.
-func (c *Controller) Apply(offset int64, data []byte) (bool, error) {
-	r, err := decode(data)
-	if err != nil {
-		return false, &BadRecordError{Offset: offset, Problem: err.Error()}
+// set replaces the state; a new version comes into force.
+func (c *Controller) set(s State) {
+	newer := s.Version > c.state.Version
+	c.state = s
+	if newer {
+		c.o.Board.SetSite(s.site, s.Version)
 	}
-	if r.Version != r.From+1 || r.Version < 1 || r.ID == "" {
-		return false, &BadRecordError{Offset: offset, Problem: "inconsistent version"}
+}
+
+// take applies the record at the offset before next.
+func (c *Controller) take(now clock.Millis, e entry) []Decision {
+	if c.following {
+		c.state.Through = c.next
+	}
+	if e.err != nil {
+		return []Decision{e.decision(Invalid, e.err)}
+	}
+	switch e.record.Type {
+	case Snapshot:
+		return c.takeSnapshot(now, e)
+	case Restore:
+		return c.takeRestore(now, e)
+	default:
+		return c.takeChange(e)
 	}
-	return c.Adopt(offset, r)
 }
 
-// Adopt takes a record that the log or a peer has accepted and reports whether it is now in force.
-func (c *Controller) Adopt(offset int64, r Record) (bool, error) {
-	if r.Version <= c.current.Version {
-		return false, nil
+func (c *Controller) takeChange(e entry) []Decision {
+	if !c.following {
+		return nil
 	}
-	s, err := site.Parse("configuration", []byte(r.Text))
-	if err != nil {
-		return false, &BadRecordError{Offset: offset, Problem: err.Error()}
+	if e.record.From != c.state.Version {
+		return []Decision{e.decision(Superseded, nil)}
 	}
-	c.current = r
-	c.won[r.Version] = r.ID
-	c.b.SetSite(s, r.Version)
-	return true, nil
+	c.set(e.state(c.next))
+	return []Decision{e.decision(Accepted, nil)}
 }
 
-// Current returns the record in force; its version is 0 without one.
-func (c *Controller) Current() Record { return c.current }
+// takeSnapshot uses a snapshot when it tells more than is known.
+func (c *Controller) takeSnapshot(now clock.Millis, e entry) []Decision {
+	c.snapshots.seen(now, e.record.Through)
+	_, err := c.Adopt(e.state(e.record.Through))
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		return []Decision{e.decision(Invalid, err)}
+	}
+	return nil
+}
+
+// takeRestore applies a record that needs no knowledge of what came before it.
+func (c *Controller) takeRestore(now clock.Millis, e entry) []Decision {
+	if e.record.Version <= c.state.Version {
+		return []Decision{e.decision(Superseded, nil)}
+	}
+	c.snapshots.seen(now, e.offset)
+	c.set(e.state(c.next))
+	c.following = true
+	return []Decision{e.decision(Accepted, nil)}
+}
+
+// state is the state that the entry gives at offset through.
+func (e entry) state(through int64) State {
+	return State{Version: e.record.Version, ID: e.record.ID, Text: e.record.Text, Through: through, site: e.site}
+}
+
+func (e entry) decision(v Verdict, err error) Decision {
+	return Decision{Offset: e.offset, ID: e.record.ID, Version: e.record.Version, Verdict: v, Err: err}
+}
--- /dev/null
+++ b/internal/configuration/record.go
@@ -0,0 +1,113 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/pkg/site"
+)
+
+// Stream is the log stream that holds configuration records.
+const Stream = "configuration"
+
+// Type says how a record acts.
+type Type string
+
+// The types of record.
+const (
+	// Change puts a new version in force when it is the first one made from the version before it.
+	Change Type = "change"
+	// Snapshot repeats the state at an earlier offset, so that readers can begin there. Its version is 0 when
+	// the records before the offset put none in force.
+	Snapshot Type = "snapshot"
+	// Restore puts a version in force whose predecessors nobody knows any more.
+	Restore Type = "restore"
+)
+
+// Record is one entry of the stream.
+type Record struct {
+	Type Type `json:"type"`
+	// ID is unique to the publication that made the version; a doubled append carries it twice.
+	ID string `json:"id"`
+	// From is the version that a change was made from; 0 for the first.
+	From int64 `json:"from"`
+	// Version is the version that the record makes or repeats. A change's is From plus one.
+	Version int64 `json:"version"`
+	// Through is set in snapshots: the version is in force after all records before this offset.
+	Through int64 `json:"through,omitempty"`
+	// Text is the whole configuration as YAML.
+	Text string `json:"text"`
+}
+
+// Encode returns the record's bytes.
+func (r Record) Encode() ([]byte, error) {
+	return json.Marshal(r)
+}
+
+// check reports what is wrong with a record on its own, or "".
+func (r Record) check(offset int64) string {
+	switch {
+	case r.Type == Snapshot && r.Version == 0 && r.ID == "" && r.Through <= offset:
+		return ""
+	case r.ID == "" || r.Version < 1:
+		return "no id or no version"
+	case r.Type == Change && r.Version == r.From+1:
+		return ""
+	case r.Type == Snapshot && r.Through <= offset:
+		return ""
+	case r.Type == Restore:
+		return ""
+	default:
+		return "inconsistent type and versions"
+	}
+}
+
+// entry is one decoded record.
+type entry struct {
+	offset int64
+	record Record
+	// site is the parsed text; nil when err is set.
+	site *site.Site
+	// err is of type *BadRecordError.
+	err error
+}
+
+// Batch is a decoded page of the stream. Decoding needs no controller, so that no lock is held meanwhile.
+type Batch struct {
+	// first and next are those of the page.
+	first int64
+	next  int64
+	// entries are in offset order without gaps.
+	entries []entry
+}
+
+// Decode decodes the records of a page and parses their configurations.
+func Decode(p laburnumring.Page) Batch {
+	b := Batch{first: p.First, next: p.Next}
+	for _, r := range p.Records {
+		b.entries = append(b.entries, decode(r))
+	}
+	return b
+}
+
+func decode(r laburnumring.Record) entry {
+	e := entry{offset: r.Offset}
+	if err := json.Unmarshal(r.Data, &e.record); err != nil {
+		e.err = &BadRecordError{Offset: r.Offset, Problem: err.Error()}
+		return e
+	}
+	if problem := e.record.check(r.Offset); problem != "" {
+		e.err = &BadRecordError{Offset: r.Offset, ID: e.record.ID, Problem: problem}
+		return e
+	}
+	if e.record.Version == 0 {
+		return e
+	}
+	s, err := site.Parse(fmt.Sprintf("version %d", e.record.Version), []byte(e.record.Text))
+	if err != nil {
+		e.err = &BadRecordError{Offset: r.Offset, ID: e.record.ID, Problem: err.Error()}
+	}
+	e.site = s
+	return e
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -14,6 +14,11 @@
 	ConfigurationBad    = Event{2002, log.WarnLevel, "configuration record ignored"}
 	LogUnreachable      = Event{2003, log.WarnLevel, "platform log unreachable"}
 	LogReachable        = Event{2004, log.InfoLevel, "platform log reachable"}
+	ConfigSuperseded    = Event{2005, log.InfoLevel, "configuration change lost a race"}
+	ConfigHistoryLost   = Event{2006, log.WarnLevel, "configuration history lost"}
+	ConfigHistoryKnown  = Event{2007, log.InfoLevel, "configuration history known again"}
+	ConfigSnapshot      = Event{2008, log.InfoLevel, "configuration snapshot appended"}
+	ConfigNotLeveled    = Event{2009, log.WarnLevel, "configuration not exchanged with a peer"}
 	AgentReady          = Event{3001, log.InfoLevel, "agent ready"}
 	AgentSilent         = Event{3002, log.WarnLevel, "agent silent"}
 	AgentLeaving        = Event{3003, log.InfoLevel, "agent leaving"}
@@ -48,6 +53,8 @@
 	return []Event{
 		Started, Stopping, Stopped, StopLimit, InvariantBroken, SettingsRejected,
 		ConfigurationLive, ConfigurationBad, LogUnreachable, LogReachable,
+		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
+		ConfigNotLeveled,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -12,9 +12,9 @@
 	"github.com/gorilla/mux"
 
 	"github.com/laburnumring/laburnumring"
-	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/fleet"
 	"github.com/laburnumring/laburnumring/internal/platform"
+	"github.com/laburnumring/laburnumring/internal/publication"
 	"github.com/laburnumring/laburnumring/internal/share"
 	"github.com/laburnumring/laburnumring/internal/standin/control"
 	"github.com/laburnumring/laburnumring/internal/standin/engine"
@@ -23,6 +23,7 @@
 	"github.com/laburnumring/laburnumring/internal/standin/platformlog"
 	"github.com/laburnumring/laburnumring/internal/standin/vmlist"
 	"github.com/laburnumring/laburnumring/internal/traffic"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/pkg/server"
 	"github.com/laburnumring/laburnumring/pkg/service"
 	"github.com/laburnumring/laburnumring/pkg/site"
@@ -257,7 +258,8 @@
 		return err
 	}
 	log := platform.NewLog(c.platform, &traffic.Counter{})
-	_, err = configuration.NewPublisher(log, pollPause).Publish(ctx, "measure", 0, string(text))
+	p := publication.NewPublisher(log, wallclock.New(), pollPause)
+	_, err = p.Publish(ctx, publication.Options{ID: "measure", Text: string(text)})
 	return err
 }
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -89,17 +89,6 @@
 	State admission.State
 }
 
-// ConfigurationArgs asks for the configuration in force.
-type ConfigurationArgs struct{}
-
-// ConfigurationReply carries the configuration in force.
-type ConfigurationReply struct {
-	// Version is 0 when there is none.
-	Version int64
-	// Text is the configuration as it was published.
-	Text []byte
-}
-
 // StartMessage is the body of a start call.
 type StartMessage struct {
 	Start ticket.Start `cbor:"start"`
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	data, err := configuration.Record{ID: "first", Version: 1, Text: string(text)}.Encode()
+	data, err := configuration.Record{Type: configuration.Change, ID: "first", Version: 1, Text: string(text)}.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/rpc"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/laburnumring/laburnumring/internal/board"
@@ -37,10 +38,14 @@
 	wake chan struct{}
 	// open says that a session stands; guarded by the router's mu.
 	open bool
+	// version is the configuration version that the agent last said to have; guarded by the router's mu.
+	version int64
+	// differs has room for one signal that the versions of router and agent differ.
+	differs chan struct{}
 }
 
 func newLink(r *Router, server, address string) *link {
-	return &link{r: r, server: server, address: address, wake: make(chan struct{}, 1)}
+	return &link{r: r, server: server, address: address, wake: make(chan struct{}, 1), differs: make(chan struct{}, 1)}
 }
 
 // run keeps a session open until ctx ends, with capped exponential backoff between attempts.
@@ -71,13 +76,11 @@
 		return err
 	}
 	ctx, stop := context.WithCancelCause(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		stop(l.fetchOffers(ctx, client))
-	}()
+	var wg sync.WaitGroup
+	wg.Go(func() { stop(l.fetchOffers(ctx, client)) })
+	wg.Go(func() { l.levelVersions(ctx, client) })
 	stop(l.sendBatches(ctx, client))
-	<-done
+	wg.Wait()
 	return context.Cause(ctx)
 }
 
@@ -97,6 +100,7 @@
 	l.open = true
 	l.outbox = peer.ExchangeArgs{Router: r.id, Suspects: r.suspects.Entries(now)}
 	l.signal()
+	l.heard(reply.Version)
 	if r.membership.Answered(l.server, reply.Incarnation) {
 		r.o.Logger.Log(event.AgentReady, "server", l.server, "incarnation", reply.Incarnation)
 		r.do(r.dispatch.AgentReady(now, l.server))
@@ -142,6 +146,7 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	l.heard(reply.Version)
 	before, _ := r.board.Peer(l.server)
 	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining)
 	for _, o := range reply.Offers {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,6 +45,8 @@
 	VMs laburnumring.VMLister
 	// LogTraffic counts the bytes exchanged with the platform.
 	LogTraffic *traffic.Counter
+	// Seeds are addresses of agents to ask for a configuration while the router has none.
+	Seeds []string
 	// Logger takes events.
 	Logger *event.Logger
 	// TLS is used towards agents; nil means no TLS, which is for loopback only.
@@ -92,6 +94,8 @@
 	// follower keeps config up to date.
 	follower *follower.Follower
 	callers  *caller.Authenticator
+	// fetching is held while a configuration is fetched from an agent.
+	fetching sync.Mutex
 
 	mu sync.Mutex
 	// All below is guarded by mu.
@@ -137,7 +141,7 @@
 		busy:       make(chan struct{}, 1),
 		callers:    caller.New(o.CallerAuth),
 		board:      b,
-		config:     configuration.New(b),
+		config:     configuration.New(configuration.Options{Board: b, Random: rand.Float64}),
 		membership: membership.New(b),
 		suspects:   suspects,
 		dispatch: dispatch.New(dispatch.Options{
@@ -155,7 +159,8 @@
 	r.metrics.registry.MustRegister(o.Collectors...)
 	o.LogTraffic.Register(r.metrics.registry, "platform")
 	r.follower = follower.New(follower.Options{
-		Log: o.Log, Logger: o.Logger, Mu: &r.mu, Config: r.config, Live: r.configured,
+		Log: o.Log, Logger: o.Logger, Clock: o.Clock, Mu: &r.mu, Config: r.config, Live: r.configured,
+		Random: rand.Float64,
 	})
 	return r
 }
@@ -167,7 +172,9 @@
 	r.linkContext = loops
 	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.tickLoop, r.subsetLoop, r.follower.Run, r.vmLoop} {
+	for _, loop := range []func(context.Context){
+		r.tickLoop, r.subsetLoop, r.follower.Run, r.seedLoop, r.vmLoop,
+	} {
 		wg.Go(func() { loop(loops) })
 	}
 	r.o.Logger.Log(event.Started, "router", r.id)
@@ -244,6 +251,7 @@
 		r.closeLink(now, name)
 	}
 	r.relink(now)
+	r.compareVersions()
 }
 
 func (r *Router) vmLoop(ctx context.Context) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,8 @@
 	TLS *TLS `yaml:"tls"`
 	// InsecureLoopback turns TLS between processes off; all addresses must be loopback then.
 	InsecureLoopback bool `yaml:"insecure_loopback"`
+	// Seeds are IP addresses and ports of agents that a router without a configuration asks for one.
+	Seeds []string `yaml:"seeds"`
 	// LogFormat is text, logfmt or json; text when empty.
 	LogFormat string `yaml:"log_format"`
 	// Policy chooses the agents for a request; laburnumring when empty.
@@ -124,6 +126,9 @@
 		c.keyPair("caller_tls", *r.CallerTLS)
 	}
 	c.security(r.TLS, r.InsecureLoopback)
+	for _, seed := range r.Seeds {
+		c.address("seeds", seed)
+	}
 	c.format(r.LogFormat)
 	c.policy(&r.Policy)
 	c.limit(&r.ShutdownLimitMs)
--- a/pkg/site/site.go
+++ b/pkg/site/site.go
@@ -55,6 +55,9 @@
 // Servers returns a copy of the site's backend servers in their order.
 func (s *Site) Servers() []server.Server { return slices.Clone(s.servers) }
 
+// ServerCount returns how many backend servers the site has.
+func (s *Site) ServerCount() int { return len(s.servers) }
+
 // Team returns the team called name.
 func (s *Site) Team(name string) (team.Team, bool) {
 	i := slices.IndexFunc(s.teams, func(t team.Team) bool { return t.Name() == name })
