membership: Keep work away from agents whose server is down

Cause: a randomised run in which half the servers stay down broke bounded_wait: an agent beside a dead server holds no work, so routers took it for the least loaded and left both tickets of a request there; while the others had a backlog nobody else asked for it. A full ticket queue refused old requests while it held younger ones.

Ruled out: adding load for dead servers (any figure is wrong).

Change: agents say that their server is down with their offers, and at once; routers leave no tickets there. Each renewal of a waiting request's tickets adds one more agent, up to six. In a full queue an older request takes the place of the youngest.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -160,15 +160,30 @@
 	if c.o.Suspects.Kind(now, t.Fingerprint) == suspect.Confirmed {
 		return false
 	}
-	if c.draining || len(c.queues[t.Team]) >= c.o.TicketLimit {
+	w := &waiting{ref: ref, t: t, since: now - t.Age, deadline: now + t.Remaining}
+	if c.draining || !c.makeRoom(w) {
 		return false
 	}
-	w := &waiting{ref: ref, t: t, since: now - t.Age, deadline: now + t.Remaining}
 	c.byRef[ref] = w
 	c.queues[t.Team] = insert(c.queues[t.Team], w)
 	return true
 }
 
+// makeRoom reports whether w's team may have another ticket. An older request takes the place of the youngest,
+// whose ticket its router renews later.
+func (c *Controller) makeRoom(w *waiting) bool {
+	q := c.queues[w.t.Team]
+	if len(q) < c.o.TicketLimit {
+		return true
+	}
+	youngest := q[len(q)-1]
+	if youngest.since <= w.since {
+		return false
+	}
+	c.remove(youngest)
+	return true
+}
+
 // insert keeps q sorted by age, oldest first.
 func insert(q []*waiting, w *waiting) []*waiting {
 	i := len(q)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -343,7 +343,9 @@
 	}
 	a.o.Logger.Log(e, "server", a.o.Server.Name())
 	a.fill(now)
-	a.wakeIdle()
+	for _, s := range a.sessions {
+		s.notify()
+	}
 }
 
 // Handler returns the agent's HTTP interface.
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -81,6 +81,7 @@
 	if a.admission.Waiting() == 0 && !a.o.Policy.Pushes() {
 		reply.Free = a.admission.Free()
 	}
+	reply.Down = !a.serverUp
 	reply.Draining = a.admission.Draining()
 	reply.Version = a.board.Version()
 	return nil
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -19,6 +19,8 @@
 	Ready
 	// Leaving means that the agent, or the VM list, says that its VM is going away.
 	Leaving
+	// Down means that the agent answers and its backend server does not.
+	Down
 )
 
 // Peer is one agent as a router knows it.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -335,6 +335,7 @@
 }
 
 func (c *Controller) finish(now clock.Millis, p *pending, f Finish) []Action {
+	c.setRetryAfter(now, p, &f)
 	out := c.withdrawAll(p, "")
 	if p.bound == "" {
 		c.dequeue(p)
@@ -343,15 +344,22 @@
 	f.Request = p.r.ID
 	c.o.Invariants.Checkf(f.Outcome != outcome.NotRun || p.tries == 0 && p.delivered == 0, "honest_refusal",
 		"request %s is called not run after %d tries", p.r.ID, p.tries)
-	if f.Outcome != outcome.Whole && c.poison(now, p.r) {
+	out = append(out, f)
+	return append(out, c.leaveWindow(now, p.group())...)
+}
+
+// setRetryAfter says when to come back after an end that is not whole; a waiting request counts in its queue.
+func (c *Controller) setRetryAfter(now clock.Millis, p *pending, f *Finish) {
+	if f.Outcome == outcome.Whole {
+		return
+	}
+	if c.poison(now, p.r) {
 		f.Reason = reasonPoison
 		f.RetryAfter = c.o.Suspects.Remaining(now, p.r.Fingerprint)
 	}
-	if f.Outcome != outcome.Whole && f.RetryAfter == 0 {
+	if f.RetryAfter == 0 {
 		f.RetryAfter = c.retryAfter(now, p.group())
 	}
-	out = append(out, f)
-	return append(out, c.leaveWindow(now, p.group())...)
 }
 
 func (c *Controller) withdrawAll(p *pending, but string) []Action {
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -1,6 +1,14 @@
 package dispatch
 
-import "github.com/laburnumring/laburnumring/pkg/clock"
+import (
+	"slices"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// maxTickets is with how many agents a request's tickets are left at most by renewals.
+const maxTickets = 6
 
 // renew leaves the tickets of waiting requests again, since an agent may have lost them without a sign.
 func (c *Controller) renew(now clock.Millis) []Action {
@@ -27,12 +35,28 @@
 	servers := p.tickets
 	p.tickets = nil
 	var out []Action
-	for _, server := range servers {
+	for _, server := range append(servers, c.another(p, servers)...) {
 		out = append(out, c.leave(now, p, server))
 	}
 	return out
 }
 
+// another chooses one more agent for a request that has waited long, since those that have its ticket may
+// serve nobody.
+func (c *Controller) another(p *pending, servers []string) []string {
+	if len(servers) >= maxTickets {
+		return nil
+	}
+	rest := slices.DeleteFunc(c.targets(p), func(t laburnumring.Target) bool {
+		return slices.Contains(servers, t.Server)
+	})
+	if len(rest) == 0 {
+		return nil
+	}
+	chosen := c.o.Placement.Choose(rest)
+	return chosen[:min(1, len(chosen))]
+}
+
 // scheduleRenewal sets when the tickets that are left now are left again.
 func (p *pending) scheduleRenewal(now clock.Millis) {
 	p.renewal = min(maxRenewal, max(minRenewal, 2*p.renewal))
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -15,11 +15,13 @@
 	listed map[string]bool
 	// draining holds servers whose agent said that it takes no more work, by server name.
 	draining map[string]bool
+	// down holds servers whose agent said that they do not answer, by server name.
+	down map[string]bool
 }
 
 // New returns a controller that writes to b.
 func New(b *board.Board) *Controller {
-	return &Controller{b: b, listed: make(map[string]bool), draining: make(map[string]bool)}
+	return &Controller{b: b, listed: make(map[string]bool), draining: make(map[string]bool), down: make(map[string]bool)}
 }
 
 // Configured makes the board's peers those of the site in force and returns the servers that are new and
@@ -31,6 +33,7 @@
 		if !ok || s.Agent() != p.Address || s.Service() != p.Service {
 			c.b.RemovePeer(p.Server)
 			delete(c.draining, p.Server)
+			delete(c.down, p.Server)
 			removed = append(removed, p.Server)
 		}
 	}
@@ -66,7 +69,7 @@
 }
 
 // Reported records what an agent says of itself and returns its state.
-func (c *Controller) Reported(name string, load, slots int, draining bool) board.PeerState {
+func (c *Controller) Reported(name string, load, slots int, draining, down bool) board.PeerState {
 	p, ok := c.b.Peer(name)
 	if !ok || p.State == board.Silent {
 		return board.Silent
@@ -74,6 +77,7 @@
 	if draining {
 		c.draining[name] = true
 	}
+	c.down[name] = down
 	p.Load = load
 	p.Slots = slots
 	p.State = c.state(p)
@@ -121,5 +125,8 @@
 	if c.draining[p.Server] || c.listed[p.Address] {
 		return board.Leaving
 	}
+	if c.down[p.Server] {
+		return board.Down
+	}
 	return board.Ready
 }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -73,6 +73,8 @@
 	Slots int
 	// Draining says that the agent takes no more work.
 	Draining bool
+	// Down says that the backend server does not answer.
+	Down bool
 	// Version is the configuration version that the agent has in force.
 	Version int64
 }
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -148,15 +148,20 @@
 	defer r.mu.Unlock()
 	l.heard(reply.Version)
 	before, _ := r.board.Peer(l.server)
-	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining)
+	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining, reply.Down)
 	for _, o := range reply.Offers {
 		r.do(r.dispatch.Offer(now, l.server, o))
 	}
-	if state == board.Leaving && before.State == board.Ready {
+	if state == board.Leaving && before.State != board.Leaving {
 		r.o.Logger.Log(event.AgentLeaving, "server", l.server, "source", "agent")
+	}
+	if state != board.Ready {
 		r.do(r.withdrawFrom(now, l.server))
 		return
 	}
+	if before.State == board.Down {
+		r.do(r.dispatch.AgentReady(now, l.server))
+	}
 	if reply.Free > 0 {
 		r.do(r.dispatch.Free(now, l.server, reply.Free))
 	}
--- a/internal/soak/agent_test.go
+++ b/internal/soak/agent_test.go
@@ -125,8 +125,8 @@
 	if a.admission.Waiting() == 0 {
 		free = a.admission.Free()
 	}
-	load, life := a.admission.InUse()+a.admission.Waiting(), a.life
-	a.t.send(&a.node, &r.node, func() { r.reported(a, life, load, free) })
+	load, life, down := a.admission.InUse()+a.admission.Waiting(), a.life, !a.up
+	a.t.send(&a.node, &r.node, func() { r.reported(a, life, load, free, down) })
 }
 
 func (a *agentNode) start(r *routerNode, s ticket.Start) {
@@ -189,7 +189,7 @@
 // crash takes the server down with all that it runs.
 func (a *agentNode) crash(downtime clock.Millis) {
 	a.up = false
-	a.upAt = a.t.now + downtime
+	a.upAt = max(a.upAt, a.t.now+downtime)
 	a.admission.SetServerUp(false)
 	for _, id := range sorted(a.running) {
 		run := a.running[id]
--- a/internal/soak/router_test.go
+++ b/internal/soak/router_test.go
@@ -101,7 +101,7 @@
 	}
 }
 
-func (r *routerNode) reported(a *agentNode, life, load, free int) {
+func (r *routerNode) reported(a *agentNode, life, load, free int, down bool) {
 	if _, ok := r.heard[a.name]; !ok {
 		return
 	}
@@ -110,7 +110,15 @@
 		return
 	}
 	r.heard[a.name] = r.t.now
-	r.membership.Reported(a.name, load, slots, false)
+	before, _ := r.board.Peer(a.name)
+	state := r.membership.Reported(a.name, load, slots, false, down)
+	if state != board.Ready {
+		r.do(r.dispatch.AgentLost(r.t.now, a.name))
+		return
+	}
+	if before.State == board.Down {
+		r.do(r.dispatch.AgentReady(r.t.now, a.name))
+	}
 	if free > 0 {
 		r.do(r.dispatch.Free(r.t.now, a.name, free))
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -170,6 +170,9 @@
 
 func (w *trial) run() {
 	w.faulty = !w.calm
+	if w.seed%4 == 1 {
+		w.outage()
+	}
 	for i := range poisonCount {
 		w.after(clock.Millis(w.rng.IntN(int(faultTime))), w.nobody, func() { w.submit(poisonBase + i) })
 	}
@@ -277,6 +280,13 @@
 	}
 }
 
+// outage takes half the servers down for the whole run.
+func (w *trial) outage() {
+	for _, a := range w.agents[:len(w.agents)/2] {
+		a.crash(faultTime + mendTime + drainTime)
+	}
+}
+
 // restart begins a router without state; its callers see their connections break.
 func (w *trial) restart(r *routerNode) {
 	for _, id := range w.order {
