--- /dev/null
+++ b/internal/backend/lines_fuzz_test.go
@@ -0,0 +1,34 @@
+package backend
+
+import (
+	"bytes"
+	"testing"
+)
+
+// lengthSink counts the bytes of an answer.
+type lengthSink struct {
+	n int64
+}
+
+func (*lengthSink) Head(int, string) {}
+
+func (s *lengthSink) Data(p []byte, _ int64) { s.n += int64(len(p)) }
+
+// maxGrowth is how many bytes of an answer one byte of a line makes at most: an invalid one is replaced.
+const maxGrowth = 3
+
+// FuzzLines feeds a model engine's lines; an answer is never complete without a line, nor longer than sent.
+func FuzzLines(f *testing.F) {
+	f.Add([]byte(`{"text":"ab","units":1}`+"\n"+`{"done":true,"length":2}`+"\n"), int64(0))
+	f.Add([]byte(`{"text":"ab"}`+"\n"+`{"done":true,"length":3}`+"\n"), int64(1))
+	f.Add([]byte(`{"error":"out of memory"}`+"\n"), int64(0))
+	f.Add([]byte(`{"text":"cut`), int64(0))
+	f.Fuzz(func(t *testing.T, data []byte, from int64) {
+		var s lengthSink
+		m := NewModel("127.0.0.1:1")
+		err := m.copyLines(bytes.NewReader(data), from, &s)
+		if err == nil && len(data) == 0 || s.n > maxGrowth*int64(len(data)) {
+			t.Fatalf("%d bytes of an answer from %d, error %v", s.n, len(data), err)
+		}
+	})
+}
