router: Use the connections to agents again after each answer

Cause: the router closed an answer's stream after its last frame, before the stream's own end, so each answer cost a connection, and under TLS a handshake.

Ruled out: reading the rest in the background, since the connection would not be back for the next request.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -20,6 +20,7 @@
 	var o bench.Options
 	app.Flag("bin", "Directory with the programs.").Default("bin").StringVar(&o.Bin)
 	app.Flag("dir", "Directory for settings and logs.").Default("out/bench").StringVar(&o.Dir)
+	app.Flag("tls", "Put the link between router and agent under mutual TLS.").BoolVar(&o.TLS)
 	app.Flag("period", "How long each measurement lasts.").Default("3s").DurationVar(&o.Period)
 	app.Flag("rounds", "How often each measurement is made.").Default("3").IntVar(&o.Rounds)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -27,6 +27,8 @@
 	// Bin is the directory with the programs and Dir one for settings and logs.
 	Bin string
 	Dir string
+	// TLS puts the link between router and agent under mutual TLS.
+	TLS bool
 	// Period is how long each measurement lasts and Rounds how often each is made.
 	Period time.Duration
 	Rounds int
@@ -72,6 +74,7 @@
 func Run(ctx context.Context, o Options, emit func(Result) error) error {
 	f, err := fleet.Start(ctx, fleet.Options{
 		Bin: o.Bin, Dir: o.Dir, Models: 1, Plains: 1, Routers: 1, Slots: slots, PlainDuration: plainTime,
+		TLS: o.TLS,
 	})
 	if err != nil {
 		return err
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/pkg/place"
 	"github.com/laburnumring/laburnumring/pkg/retry"
 	"github.com/laburnumring/laburnumring/pkg/server"
@@ -43,6 +44,8 @@
 	PlainDuration time.Duration
 	// PlainRepeatable makes plain calls repeatable.
 	PlainRepeatable bool
+	// TLS puts the links between processes under mutual TLS, with keys of a trial authority in Dir.
+	TLS bool
 	// RouterSettings and AgentSettings are further lines of the settings files.
 	RouterSettings string
 	AgentSettings  string
@@ -61,6 +64,7 @@
 	stopLimit            = 10 * time.Second
 	readyLimit           = 20 * time.Second
 	pollPause            = 20 * time.Millisecond
+	keyLife              = 24 * time.Hour
 )
 
 // Fleet is a set of running processes. It is used by one goroutine.
@@ -72,6 +76,8 @@
 	platform string
 	routers  []string
 	site     *site.Site
+	// trial issues the processes' certificates; nil without TLS.
+	trial *keys.Trial
 }
 
 // Start starts everything and waits until every router is ready and sees all agents.
@@ -136,6 +142,13 @@
 	if err := os.MkdirAll(f.o.Dir, 0o700); err != nil {
 		return err
 	}
+	if f.o.TLS {
+		trial, err := keys.NewTrial(filepath.Join(f.o.Dir, "keys"), time.Now(), keyLife)
+		if err != nil {
+			return err
+		}
+		f.trial = trial
+	}
 	ports, err := freePorts(1 + f.o.Routers + 2*(f.o.Models+f.o.Plains))
 	if err != nil {
 		return err
@@ -205,20 +218,40 @@
 	if err := f.run(s.Name(), "standins", args...); err != nil {
 		return err
 	}
+	security, err := f.security(keys.Agent, s.Name())
+	if err != nil {
+		return err
+	}
 	text := fmt.Sprintf("server: %s\nservice: %s\nplace: %s\nkind: %s\nserver_address: %s\nslots: %d\nlisten: %s\n"+
-		"log: %s\ninsecure_loopback: true\nshutdown_limit_ms: 20000\n%s",
-		s.Name(), s.Service(), s.Place(), kind, s.Address(), s.Slots(), s.Agent(), f.platform, f.o.AgentSettings)
+		"log: %s\n%s\nshutdown_limit_ms: 20000\n%s",
+		s.Name(), s.Service(), s.Place(), kind, s.Address(), s.Slots(), s.Agent(), f.platform, security, f.o.AgentSettings)
 	return f.runProduct(s.Name()+"-agent", "agent", text)
 }
 
 func (f *Fleet) startRouter(i int) error {
 	name := fmt.Sprintf("router-%d", i+1)
+	security, err := f.security(keys.Router, name)
+	if err != nil {
+		return err
+	}
 	text := fmt.Sprintf("name: %s\nplace: place-a\nlisten: %s\nlog: %s\nvms: %s\n"+
-		"caller_auth: header\ninsecure_loopback: true\nshutdown_limit_ms: 20000\n%s",
-		name, f.routers[i], f.platform, f.platform, f.o.RouterSettings)
+		"caller_auth: header\n%s\nshutdown_limit_ms: 20000\n%s",
+		name, f.routers[i], f.platform, f.platform, security, f.o.RouterSettings)
 	return f.runProduct(name, "router", text)
 }
 
+// security returns the setting for the links of one process.
+func (f *Fleet) security(role keys.Role, name string) (string, error) {
+	if f.trial == nil {
+		return "insecure_loopback: true", nil
+	}
+	o, err := f.trial.Issue(keys.Identity{Role: role, Name: name}, keyLife)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("tls: {certificate: %q, key: %q, authority: %q}", o.Certificate, o.Key, o.Authority), nil
+}
+
 func (f *Fleet) runProduct(name, role, settings string) error {
 	file := filepath.Join(f.o.Dir, name+".yaml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -52,7 +52,7 @@
 }
 
 // connect makes one connection, passes a byte each way and returns the first error of each side.
-func connect(t *testing.T, server, client *tls.Config) (serverErr, clientErr error) {
+func connect(t testing.TB, server, client *tls.Config) (serverErr, clientErr error) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -208,3 +208,29 @@
 		}
 	}
 }
+
+// BenchmarkHandshake makes a connection under mutual TLS, both sides in this process.
+func BenchmarkHandshake(b *testing.B) {
+	now := time.Now()
+	trial, err := keys.NewTrial(b.TempDir(), now, life)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var cfg [2]*tls.Config
+	for i, role := range []keys.Role{keys.Agent, keys.Router} {
+		o, err := trial.Issue(keys.Identity{Role: role, Name: "x"}, life)
+		if err != nil {
+			b.Fatal(err)
+		}
+		k, err := keys.Load(o)
+		if err != nil {
+			b.Fatal(err)
+		}
+		cfg[i] = [...]*tls.Config{k.Server(true, keys.Router), k.Client(keys.Agent)}[i]
+	}
+	for b.Loop() {
+		if a, c := connect(b, cfg[0], cfg[1]); a != nil || c != nil {
+			b.Fatal(a, c)
+		}
+	}
+}
--- a/internal/run/run.go
+++ b/internal/run/run.go
@@ -135,7 +135,7 @@
 	return len(r.data)
 }
 
-// Copy writes the answer from w's offset on as frames until its end, calling flush after each step. It
+// Copy writes the answer from w's offset on as frames until its end, calling flush after each step but the last. It
 // stops early when ctx ends, when a write fails or with a *GoneError.
 func (r *Run) Copy(ctx context.Context, w *answer.Writer, flush func() error) error {
 	headSent := false
@@ -154,10 +154,8 @@
 			return err
 		}
 		if s.end != nil {
-			if err := w.End(*s.end); err != nil {
-				return err
-			}
-			return flush()
+			// What follows the end goes out with it when the stream ends.
+			return w.End(*s.end)
 		}
 		if err := flush(); err != nil {
 			return err
