router: Bound the callers' bodies that wait in memory

Cause: a team's queue is bounded in requests only; 256 of 8 MiB are 2 GiB for each team and service. A retry was not logged, and the gauge of suspects kept those that had been cleared.

Change: a router holds at most 64 MiB of bodies for a team and 256 MiB in all; more is refused as queue_full before the body is read. The router asserts that a whole answer has the length that its end names. Tests for the turns of suspected requests, the spread of entries and the window of a run.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -256,6 +256,8 @@
 	if err := c.end(); err != nil {
 		return unwritten(err)
 	}
+	r.invariants.Checkf(end.Length == c.position(), "whole_answer",
+		"request %s is whole at length %d, delivered were %d", c.id, end.Length, c.position())
 	return resultOf(end)
 }
 
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/dispatch"
+	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/transcript"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
@@ -15,6 +17,8 @@
 	r  dispatch.Request
 	// body is the caller's request body.
 	body []byte
+	// held is how many bytes are reserved for body.
+	held int64
 	// method, path and contentType are the caller's, for plain services.
 	method      string
 	path        string
@@ -108,7 +112,20 @@
 	defer r.mu.Unlock()
 	c.abort = nil
 	c.cut = nil
-	r.do(r.dispatch.AttemptEnded(now, c.id, b.Attempt, res))
+	actions := r.dispatch.AttemptEnded(now, c.id, b.Attempt, res)
+	if !finished(actions, c.id) {
+		r.o.Logger.Log(event.AttemptRetried, "request", c.id, "server", b.Server, "attempt", b.Attempt,
+			"outcome", res.Outcome, "reason", res.Reason)
+	}
+	r.do(actions)
+}
+
+// finished reports whether actions end the request.
+func finished(actions []dispatch.Action, id string) bool {
+	return slices.ContainsFunc(actions, func(a dispatch.Action) bool {
+		f, ok := a.(dispatch.Finish)
+		return ok && f.Request == id
+	})
 }
 
 func (r *Router) cancel(id string) {
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -72,6 +72,7 @@
 	}()
 	now := r.o.Clock.Now()
 	c, err := r.parse(now, w, req)
+	defer r.release(c)
 	if err != nil {
 		var bad *badRequestError
 		if errors.As(err, &bad) {
@@ -111,6 +112,16 @@
 	return dispatch.Finish{}
 }
 
+// release gives back the room of a request's body; c may be nil.
+func (r *Router) release(c *call) {
+	if c == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bodies.give(c.r.Team, c.held)
+}
+
 func (r *Router) drop(c *call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -152,7 +163,7 @@
 	if err := c.readHeaders(now, req); err != nil {
 		return nil, err
 	}
-	return c, c.readBody(req)
+	return c, r.holdBody(c, req)
 }
 
 // team returns the caller's team. Its errors are of type *badRequestError.
@@ -258,7 +269,7 @@
 		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
 	after := badRequestRetryAfter
-	if e.Status == http.StatusServiceUnavailable {
+	if e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests {
 		after = clock.Second
 	}
 	setRetryAfter(w, after)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/membership"
 	"github.com/laburnumring/laburnumring/internal/placement"
@@ -87,8 +88,10 @@
 	o       Options
 	id      string
 	counter *traffic.Counter
-	metrics *metrics
-	data    *http.Client
+	// invariants takes violations.
+	invariants invariant.Checker
+	metrics    *metrics
+	data       *http.Client
 	// busy has room for one signal that the first request has come.
 	busy chan struct{}
 	// follower keeps config up to date.
@@ -110,6 +113,8 @@
 	links map[string]*link
 	// calls holds the callers that wait, by request id.
 	calls map[string]*call
+	// bodies counts what the calls hold.
+	bodies bodies
 	// liveSince is when the configuration in force came into force here.
 	liveSince clock.Millis
 	// stopping is set once, when a shutdown begins.
@@ -132,6 +137,7 @@
 	b := board.New()
 	m := newMetrics()
 	suspects := suspect.New(suspect.Options{})
+	invariants := o.Logger.Invariants(m.violations.Inc)
 	r := &Router{
 		o:          o,
 		id:         o.Name + "." + o.Incarnation,
@@ -144,15 +150,17 @@
 		config:     configuration.New(configuration.Options{Board: b, Random: rand.Float64}),
 		membership: membership.New(b),
 		suspects:   suspects,
+		invariants: invariants,
 		dispatch: dispatch.New(dispatch.Options{
 			Suspects:   suspects,
 			Board:      b,
 			Placement:  placement.For(o.Policy, o.Rand, ticketsPerRequest),
-			Invariants: o.Logger.Invariants(m.violations.Inc),
+			Invariants: invariants,
 		}),
 		subset: subset.New(subset.Options{Board: b, Router: o.Name, Place: o.Place, Degree: o.SubsetDegree}),
 		links:  make(map[string]*link),
 		calls:  make(map[string]*call),
+		bodies: bodies{byTeam: make(map[string]int64)},
 	}
 	r.counter.Register(r.metrics.registry, "peer")
 	r.metrics.registry.MustRegister(o.Refusals)
@@ -235,6 +243,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.do(r.dispatch.Tick(now))
+	r.suspects.Prune(now)
+	r.metrics.suspects.Set(float64(r.suspects.Held()))
 	if r.dispatch.Len() == 0 {
 		return idleTickInterval
 	}
--- /dev/null
+++ b/internal/run/run_test.go
@@ -0,0 +1,99 @@
+package run_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/answer"
+	"github.com/laburnumring/laburnumring/internal/run"
+	"github.com/laburnumring/laburnumring/pkg/outcome"
+)
+
+const (
+	window = 1 << 10
+	piece  = 100
+	pieces = 1000
+)
+
+// produce sends an answer of pieces and its end; it ends only when all of it was taken or the run is stopped.
+func produce(r *run.Run) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Head(200, "text/plain")
+		for i := range pieces {
+			r.Data(bytes.Repeat([]byte{byte(i)}, piece), 1)
+		}
+		r.End(answer.End{Outcome: outcome.Whole})
+	}()
+	return done
+}
+
+// TestWindow reads a long answer through a short window: it is whole, and no more than the window was kept.
+func TestWindow(t *testing.T) {
+	r := run.New(run.Options{Window: window})
+	done := produce(r)
+	pr, pw := io.Pipe()
+	go func() {
+		err := r.Copy(context.Background(), answer.NewWriter(pw, "r", 1, 0), func() error { return nil })
+		_ = pw.CloseWithError(err)
+	}()
+	in := answer.NewReader(pr)
+	asm := answer.NewAssembler("r", 1, 0)
+	for {
+		f, err := in.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := asm.Accept(f); err != nil {
+			t.Fatal(err)
+		}
+		if n := r.Size(); n > window {
+			t.Fatalf("%d bytes are kept, window %d", n, window)
+		}
+		if end, ok := asm.Whole(); ok {
+			if end.Length != piece*pieces || end.Cost != pieces {
+				t.Errorf("end %+v", end)
+			}
+			break
+		}
+	}
+	<-done
+	if r.Holds(0) {
+		t.Error("the beginning is still kept")
+	}
+	var gone *run.GoneError
+	err := r.Copy(context.Background(), answer.NewWriter(io.Discard, "r", 1, 0), func() error { return nil })
+	if !errors.As(err, &gone) {
+		t.Errorf("reading from the beginning: %v", err)
+	}
+}
+
+// TestStop lets a server end without a reader: what was dropped is not called whole.
+func TestStop(t *testing.T) {
+	r := run.New(run.Options{Window: window})
+	done := produce(r)
+	r.Stop()
+	<-done
+	var buf bytes.Buffer
+	if err := r.Copy(context.Background(), answer.NewWriter(&buf, "r", 1, 0), func() error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	in := answer.NewReader(&buf)
+	for {
+		f, err := in.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.End == nil {
+			continue
+		}
+		if f.End.Outcome == outcome.Whole {
+			t.Error("a cut answer is called whole")
+		}
+		return
+	}
+}
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -104,6 +104,9 @@
 // Watching reports whether anything may be held against any request.
 func (l *List) Watching() bool { return l != nil && l.held > 0 }
 
+// Held returns how many fingerprints are suspected or confirmed.
+func (l *List) Held() int { return l.held }
+
 // Prune forgets what is not in force any more.
 func (l *List) Prune(now clock.Millis) {
 	maps.DeleteFunc(l.records, func(_ uint64, r record) bool { return now >= r.until })
--- /dev/null
+++ b/internal/suspect/suspect_test.go
@@ -0,0 +1,75 @@
+package suspect_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+const fingerprint = 7
+
+// TestList follows one fingerprint from suspicion to its end.
+func TestList(t *testing.T) {
+	l := suspect.New(suspect.Options{Life: clock.Minute})
+	first := l.Died(1000, fingerprint, false)
+	if first.Kind != suspect.Suspected || l.Kind(1000, fingerprint) != suspect.Suspected {
+		t.Errorf("after a death: %+v", first)
+	}
+	cleared, ok := l.Finished(2000, fingerprint)
+	if !ok || cleared.Kind != suspect.Cleared || l.Watching() {
+		t.Errorf("after a run to the end: %+v", cleared)
+	}
+	if l.Merge(2000, first) {
+		t.Error("an old entry went before a newer one")
+	}
+	confirmed := l.Died(3000, fingerprint, true)
+	if _, ok := l.Finished(3000, fingerprint); ok || confirmed.Kind != suspect.Confirmed {
+		t.Errorf("after a death alone: %+v", confirmed)
+	}
+	if l.Kind(3000+clock.Minute, fingerprint) != 0 {
+		t.Error("an entry outlived its time")
+	}
+	if l.Merge(3000+clock.Minute, suspect.Entry{Fingerprint: fingerprint, Kind: suspect.Suspected, Version: 1}) {
+		t.Error("an entry without remaining time was taken")
+	}
+}
+
+// TestListsAgree spreads entries in any order, doubled and without loss: all lists hold the same in the end,
+// and nothing is news twice.
+func TestListsAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		lists := make([]*suspect.List, 3)
+		for i := range lists {
+			lists[i] = suspect.New(suspect.Options{})
+		}
+		var entries []suspect.Entry
+		for now := range clock.Millis(rapid.IntRange(1, 8).Draw(rt, "events")) {
+			l := lists[rapid.IntRange(0, 2).Draw(rt, "list")]
+			if e, ok := l.Finished(now, fingerprint); ok && rapid.Bool().Draw(rt, "finished") {
+				entries = append(entries, e)
+				continue
+			}
+			entries = append(entries, l.Died(now, fingerprint, rapid.Bool().Draw(rt, "alone")))
+		}
+		for _, l := range lists {
+			for _, i := range rapid.Permutation([]int{0, 1, 2, 3, 4, 5, 6, 7}).Draw(rt, "order") {
+				if i >= len(entries) {
+					continue
+				}
+				l.Merge(10, entries[i])
+				if l.Merge(10, entries[i]) {
+					rt.Fatal("an entry was news twice")
+				}
+			}
+		}
+		want, _ := lists[0].Entry(10, fingerprint)
+		for _, l := range lists[1:] {
+			if got, _ := l.Entry(10, fingerprint); got.Kind != want.Kind || got.Version != want.Version {
+				rt.Fatalf("%+v and %+v", got, want)
+			}
+		}
+	})
+}
