asking: Ask routers for work in turn

Cause: an agent with idle slots woke every router at each event, which at the design size is every router of its subsets for every request.

Change: internal/asking picks eight routers at a time, in turn, with a backoff from 5 to 100 ms that ends when a ticket is there; also on the agent's tick, so that idle slots are offered without an event.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/asking"
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
@@ -107,6 +108,8 @@
 	sessions  map[string]*session
 	// fleet is the fleet-wide order of teams; nil under a policy without one. It is guarded by mu.
 	fleet *share.Fleet
+	// asking decides which routers are asked for work. It is guarded by mu.
+	asking *asking.Turn
 	// limit is the most requests inside the backend server. It is guarded by mu.
 	limit *admission.Limit
 	// started holds runs by offer, from start until keepRuns after their end.
@@ -164,6 +167,7 @@
 	order, fleet := a.newOrder()
 	a.fleet = fleet
 	a.limit = a.newLimit()
+	a.asking = asking.New(asking.Options{})
 	a.admission = admission.New(admission.Options{
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
@@ -280,6 +284,7 @@
 	a.adaptLimit(now)
 	a.tickClaims(now)
 	a.fill(now)
+	a.wakeIdle()
 }
 
 // tickRun charges a run's progress and forgets old ones; callers hold mu.
@@ -310,16 +315,6 @@
 	}
 }
 
-// wakeIdle lets routers know of slots that no ticket fills; callers hold mu.
-func (a *Agent) wakeIdle() {
-	if a.admission.Free() == 0 || a.admission.Waiting() > 0 {
-		return
-	}
-	for _, s := range a.sessions {
-		s.notify()
-	}
-}
-
 func (a *Agent) probeLoop(ctx context.Context) {
 	interval.Every(ctx, probeInterval, func() {
 		probe, cancel := context.WithTimeout(ctx, probeTimeout)
--- /dev/null
+++ b/internal/asking/asking.go
@@ -0,0 +1,74 @@
+// Package asking decides which routers an agent with idle slots asks for work, and when.
+package asking
+
+import (
+	"slices"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Options are the settings of a Turn.
+type Options struct {
+	// Batch is how many routers are asked at once; 8 when zero.
+	Batch int
+	// MinDelay and MaxDelay bound the time between two batches; 5 ms and 100 ms when zero.
+	MinDelay clock.Millis
+	MaxDelay clock.Millis
+}
+
+// Defaults of Options.
+const (
+	defaultBatch    = 8
+	defaultMinDelay = 5 * clock.Millis(1)
+	defaultMaxDelay = 100 * clock.Millis(1)
+)
+
+// Turn asks routers one batch after another with capped exponential backoff. It is used by one goroutine at a
+// time.
+type Turn struct {
+	o Options
+	// last names the router that was asked last; the next batch begins behind it.
+	last string
+	// due is when the next batch may be asked and delay the time before the one after.
+	due   clock.Millis
+	delay clock.Millis
+}
+
+// New returns a turn that may ask at once.
+func New(o Options) *Turn {
+	if o.Batch == 0 {
+		o.Batch = defaultBatch
+	}
+	if o.MinDelay == 0 {
+		o.MinDelay = defaultMinDelay
+	}
+	if o.MaxDelay == 0 {
+		o.MaxDelay = defaultMaxDelay
+	}
+	return &Turn{o: o, delay: o.MinDelay}
+}
+
+// Found tells that there is work: the next search begins without delay.
+func (t *Turn) Found() {
+	t.due = 0
+	t.delay = t.o.MinDelay
+}
+
+// Next returns the routers to ask now, of those that can be asked. They are sorted by name.
+func (t *Turn) Next(now clock.Millis, routers []string) []string {
+	if now < t.due || len(routers) == 0 {
+		return nil
+	}
+	t.due = now + t.delay
+	t.delay = min(t.o.MaxDelay, 2*t.delay)
+	first, exact := slices.BinarySearch(routers, t.last)
+	if exact {
+		first++
+	}
+	var out []string
+	for i := range min(t.o.Batch, len(routers)) {
+		out = append(out, routers[(first+i)%len(routers)])
+	}
+	t.last = out[len(out)-1]
+	return out
+}
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -58,18 +58,26 @@
 	samplePeriod = 20 * time.Millisecond
 )
 
+// The agents' settings that the bound depends on.
+const (
+	reportSeconds = 0.25
+	leadUnits     = 512
+	// localLeadDivisor is how much smaller the bound on an agent's own counters is.
+	localLeadDivisor = 8
+	// treeDepth is the depth of the agents' tree at the sites' sizes.
+	treeDepth = 1
+)
+
 // Bound returns the formula's bound on the gap, in weighted service units: what all slots may hold uncharged,
-// and what the fleet serves while a report goes up and down the tree.
-func Bound(s Site, depth int) float64 {
-	const staleSeconds = 0.1
+// what the fleet serves while a report goes up and down the tree, what the agents' own counters may hold
+// against the fleet's, and the lead of one team at the start.
+func Bound(s Site) float64 {
 	inFlight := float64(s.Slots() * maxTokens)
-	unseen := s.Capacity() * staleSeconds * 2 * float64(depth)
-	return inFlight + unseen + maxTokens
+	unseen := 2 * treeDepth * reportSeconds * s.Capacity()
+	local := float64(s.modelServers * leadUnits / localLeadDivisor)
+	return inFlight + unseen + local + leadUnits
 }
 
-// treeDepth is the depth of the agents' tree at the sites' sizes.
-const treeDepth = 1
-
 // result computes the figures of a run from what was seen.
 func (t *Truth) result(s Site) Result {
 	t.mu.Lock()
@@ -98,7 +106,7 @@
 			g.Window = max(g.Window, win)
 		}
 	}
-	g.ShareOfBound = round(g.Run / Bound(s, treeDepth))
+	g.ShareOfBound = round(g.Run / Bound(s))
 	g.Run = round(g.Run)
 	g.Window = round(g.Window)
 	return g
