--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOLANGCI_VERSION := v2.12.0
 GOLANGCI := .tools/golangci-lint
 
-.PHONY: measure build demo check format lint test examples fmt soak
+.PHONY: measure plots build demo check format lint test examples fmt soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,6 +9,14 @@
 demo: build
 	scripts/demo.sh
 
+# Compares the policies under load; one JSON object a line.
+measure: build
+	bin/measure
+
+# Draws the last measurement's gap and utilisation over time to docs/plots.
+plots: build
+	bin/plots
+
 check: format lint build test examples
 
 $(GOLANGCI):
--- a/internal/agent/share.go
+++ b/internal/agent/share.go
@@ -42,6 +42,12 @@
 	a       *Agent
 	parents *share.Parents
 	clients map[string]*rpc.Client
+	// version is the configuration that possible and addresses were made from.
+	version int64
+	// possible names the agents that may be the parent, the preferred one first.
+	possible []string
+	// addresses holds the agents of the service, by server name.
+	addresses map[string]string
 	// parent is the agent that took the last report; empty at the root.
 	parent string
 }
@@ -58,9 +64,9 @@
 
 // step reports to the first possible parent that answers; without one the agent becomes the root.
 func (l *shareLinks) step(ctx context.Context) {
-	possible, addresses := l.possible()
-	for _, name := range l.parents.Due(l.a.o.Clock.Now(), possible) {
-		if l.report(ctx, name, addresses[name]) == nil {
+	l.configured()
+	for _, name := range l.parents.Due(l.a.o.Clock.Now(), l.possible) {
+		if l.report(ctx, name, l.addresses[name]) == nil {
 			l.parents.Answered(name)
 			l.settled(name)
 			return
@@ -74,23 +80,24 @@
 	l.lead()
 }
 
-// possible returns the names and addresses of the agents that may be the parent, the preferred one first.
-func (l *shareLinks) possible() ([]string, map[string]string) {
+// configured follows the configuration in force.
+func (l *shareLinks) configured() {
 	a := l.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.board.Site()
-	if s == nil {
-		return nil, nil
+	if s == nil || l.version == a.board.Version() {
+		return
 	}
+	l.version = a.board.Version()
 	service := a.o.Server.Service()
 	ranks := share.Ranks(s, service)
 	a.fleet.SetAgents(len(ranks))
-	addresses := make(map[string]string)
+	l.addresses = make(map[string]string)
 	for _, v := range s.ServersOf(service) {
-		addresses[v.Name()] = v.Agent()
+		l.addresses[v.Name()] = v.Agent()
 	}
-	return share.ParentsOf(ranks, a.o.Server.Name()), addresses
+	l.possible = share.ParentsOf(ranks, a.o.Server.Name())
 }
 
 // report sends one report to an agent and takes its reply.
