claim: Append releases again that the log dropped unread

Cause: the randomised test, extended to end all faults and ask that nothing is left over, found entries that stay unsettled for ever: a release that was appended, and dropped by the log before it was read back. The agent would have read without pause from then on.

Ruled out: forgetting such entries after a time, which leaves keys held.

Change: after a gap in the stream, own releases that were not read back go into the next append. TestNoKeyStartsTwice heals every run and asks that all claims are decided, all entries settled, and a new key starts.

--- a/internal/claim/page.go
+++ b/internal/claim/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -91,9 +92,22 @@
 	for _, id := range c.pendingIDs() {
 		out = append(out, c.giveUp(c.pending[id].it.e, ReasonUnavailable))
 	}
+	c.requeue()
 	return out
 }
 
+// requeue appends releases again that were appended and may have been dropped before they were read back.
+func (c *Controller) requeue() {
+	var lost []*item
+	for _, it := range c.unseen {
+		if !slices.Contains(c.queue, it) && !slices.Contains(c.inFlight, it) {
+			lost = append(lost, it)
+		}
+	}
+	slices.SortFunc(lost, func(a, b *item) int { return strings.Compare(a.e.ID, b.e.ID) })
+	c.queue = append(c.queue, lost...)
+}
+
 // record applies one record.
 func (c *Controller) record(now clock.Millis, r laburnumring.Record, u *Update) {
 	rec, err := decode(r.Offset, r.Data)
--- a/internal/claim/random_test.go
+++ b/internal/claim/random_test.go
@@ -39,9 +39,49 @@
 		for range steps {
 			f.step(t)
 		}
+		f.heal(t)
 	})
 }
 
+// heal ends all faults. Every claim must be decided and every entry settled, and a new key must start.
+func (f *faulty) heal(t *rapid.T) {
+	for range 2 * testMaxAge / healStep {
+		f.round(t)
+	}
+	k := key{name: "healed", made: f.now}
+	f.keys = append(f.keys, k)
+	f.request(t, f.agents[0], claim.Entry{Key: k.name, KeyTime: k.made, Request: "healed", Attempt: 1})
+	for range testMaxAge / healStep {
+		f.round(t)
+	}
+	for _, a := range f.agents {
+		if len(a.asked) > 0 || a.c.Pending() > 0 || a.c.Unsettled() > 0 {
+			t.Fatalf("left over: %v, pending %d, unsettled %d", a.asked, a.c.Pending(), a.c.Unsettled())
+		}
+	}
+	if f.starts[k.name] != 1 {
+		t.Fatalf("a key without faults started %d times", f.starts[k.name])
+	}
+}
+
+// healStep is the time that passes in one round without faults.
+const healStep = 5
+
+// round lets every agent append and read without faults.
+func (f *faulty) round(t *rapid.T) {
+	f.now += healStep
+	for _, a := range f.agents {
+		if data, ok := a.c.Batch(f.now + a.clock); ok {
+			f.log.land(f.now, data)
+			a.c.Appended(f.now+a.clock, true)
+		}
+	}
+	for _, a := range f.agents {
+		f.read(t, a)
+		f.decide(t, a, a.c.Tick(f.now+a.clock))
+	}
+}
+
 // key is one idempotency key with its time.
 type key struct {
 	name string
