backend: Use the connections to engines again after each answer

Cause: like the router, the agent closed an engine's answer after its last line, before the stream's own end, so each request opened a connection.

Change: package stream reads a finished body to its end, for at most 50 ms; the router's and the agent's clients share it.

--- a/internal/backend/model.go
+++ b/internal/backend/model.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/stream"
 )
 
 // Model speaks to a model engine that streams lines of JSON.
@@ -57,7 +58,11 @@
 		return &StatusError{Address: m.address, Status: resp.StatusCode}
 	}
 	sink.Head(resp.StatusCode, "text/plain; charset=utf-8")
-	return m.copyLines(resp.Body, r.ResumeFrom, sink)
+	if err := m.copyLines(resp.Body, r.ResumeFrom, sink); err != nil {
+		return err
+	}
+	stream.ReadOut(resp.Body)
+	return nil
 }
 
 func (m *Model) copyLines(body io.Reader, from int64, sink laburnumring.AnswerSink) error {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/stream"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/internal/transcript"
@@ -28,7 +29,6 @@
 const (
 	maxIdlePerAgent = 64
 	idleTimeout     = 60 * time.Second
-	readOutLimit    = 50 * time.Millisecond
 	withdrawTimeout = 300 * time.Millisecond
 	// reattachLimit is how long a broken stream is attached again; a repeatable request goes elsewhere sooner.
 	reattachLimit           = 10 * clock.Second
@@ -231,20 +231,12 @@
 			return dispatch.Result{}, err
 		}
 		if end, ok := asm.Whole(); ok {
-			readOut(body)
+			stream.ReadOut(body)
 			return r.ended(c, end), nil
 		}
 	}
 }
 
-// readOut reads the end of a stream after its last frame, without which its connection is not used again. The
-// agent ends it at once; one that does not loses the connection.
-func readOut(body io.ReadCloser) {
-	t := time.AfterFunc(readOutLimit, func() { _ = body.Close() })
-	defer t.Stop()
-	_, _ = io.CopyN(io.Discard, body, 1)
-}
-
 // ended is the result of an attempt whose end was received.
 func (r *Router) ended(c *call, end answer.End) dispatch.Result {
 	if end.Suspect != nil {
