settings: Hold seeds to loopback without TLS

Cause: seeds were read after the check that insecure_loopback makes of all addresses; only the dialer refused them, after the start.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,15 +120,15 @@
 	}
 	c.address("log", r.Log)
 	c.address("vms", r.VMs)
+	for _, seed := range r.Seeds {
+		c.address("seeds", seed)
+	}
 	c.number("subset_degree", r.SubsetDegree, 0, maxSubsetDegree)
 	c.auth(&r.CallerAuth)
 	if r.CallerTLS != nil {
 		c.keyPair("caller_tls", *r.CallerTLS)
 	}
 	c.security(r.TLS, r.InsecureLoopback)
-	for _, seed := range r.Seeds {
-		c.address("seeds", seed)
-	}
 	c.format(r.LogFormat)
 	c.policy(&r.Policy)
 	c.limit(&r.ShutdownLimitMs)
