agent: Hold keyed refusals to their HTTP statuses

Measured: go test -race -run TestKeyedBookings ./internal/agent: ok.

Conclusion: callers can tell refusals about keys from those about capacity.

--- a/internal/agent/claims_test.go
+++ b/internal/agent/claims_test.go
@@ -20,6 +20,7 @@
 	outcome string
 	reason  string
 	body    string
+	status  int
 }
 
 // book sends a booking under a key through one router.
@@ -43,7 +44,7 @@
 	if resp.Header.Get(header.Outcome) != "whole" && resp.Header.Get("Retry-After") == "" {
 		b.t.Errorf("%s names no time to come back", resp.Header.Get(header.Reason))
 	}
-	return ended{resp.Header.Get(header.Outcome), resp.Header.Get(header.Reason), string(data)}
+	return ended{resp.Header.Get(header.Outcome), resp.Header.Get(header.Reason), string(data), resp.StatusCode}
 }
 
 // runs returns how often a booking ran on all servers.
@@ -83,7 +84,8 @@
 func (b *bench) want(what string, got ended, want ...ended) {
 	b.t.Helper()
 	for _, w := range want {
-		if got.outcome == w.outcome && got.reason == w.reason && (w.body == "" || got.body == w.body) {
+		if got.outcome == w.outcome && got.reason == w.reason && got.status == w.status &&
+			(w.body == "" || got.body == w.body) {
 			return
 		}
 	}
@@ -95,23 +97,24 @@
 func TestKeyedBookings(t *testing.T) {
 	b := newBench(t)
 	key := uuid.Must(uuid.NewV7()).String()
-	whole := ended{outcome: "whole", body: plainservice.Answer("/bookings", "hull 1")}
-	claimed := ended{outcome: "unknown", reason: "key_claimed"}
+	whole := ended{status: http.StatusOK, outcome: "whole", body: plainservice.Answer("/bookings", "hull 1")}
+	reused := ended{status: http.StatusUnprocessableEntity, outcome: "not_run", reason: "key_reused"}
+	claimed := ended{status: http.StatusConflict, outcome: "unknown", reason: "key_claimed"}
 	b.want("the booking", b.book(0, key, "hull 1"), whole)
 	b.want("the resent booking", b.book(1, key, "hull 1"), whole, claimed)
-	b.want("other content", b.book(1, key, "hull 2"), ended{outcome: "not_run", reason: "key_reused"})
+	b.want("other content", b.book(1, key, "hull 2"), reused)
 	for i := range b.agents {
 		b.restartAgent(i)
 	}
 	b.want("the booking after a restart", b.book(0, key, "hull 1"), claimed)
-	b.want("other content after a restart", b.book(1, key, "hull 2"), ended{outcome: "not_run", reason: "key_reused"})
-	unavailable := ended{outcome: "not_run", reason: "claim_log_unavailable"}
+	b.want("other content after a restart", b.book(1, key, "hull 2"), reused)
+	unavailable := ended{status: http.StatusServiceUnavailable, outcome: "not_run", reason: "claim_log_unavailable"}
 	b.log.Set(control.Faults{Down: true})
 	b.want("a booking without the log", b.book(0, uuid.Must(uuid.NewV7()).String(), "hull 3"), unavailable)
 	b.want("the booking without the log", b.book(0, key, "hull 1"), claimed, unavailable)
 	b.log.Set(control.Faults{})
 	b.want("an old key", b.book(0, "01890a5d-ac96-774b-bcce-b302099a8057", "hull 4"),
-		ended{outcome: "unknown", reason: "key_expired"})
+		ended{status: http.StatusConflict, outcome: "unknown", reason: "key_expired"})
 	for body, want := range map[string]int{"hull 1": 1, "hull 2": 0, "hull 3": 0, "hull 4": 0} {
 		if n := b.runs(body); n != want {
 			t.Errorf("%s ran %d times, not %d", body, n, want)
