membership: Keep work away from servers that leave

Cause: a server that the VM list showed as leaving kept the tickets that were left there, and its offers for them were bound. The list was compared with the agent's address only; an empty list took the mark back. An agent in shutdown did not wait for a router to come back for an answer whose stream was cut. An agent that had stood still accepted offers that had expired. A router in shutdown counted every request that it refused as in progress.

Change: tickets are withdrawn from a leaving agent, and offers that come once it is known to leave are declined. An entry of the VM list with a port stands for one process, the agent or the backend server, one without for the VM; a server that the list does not name keeps its state; a mark ends with the process that it was set for. Requests that come after a router's shutdown began are refused as not run before they are counted, and their connection closed.

Ruled out: removing servers that the list does not name (an empty or late list would take the whole service away).

Refusing before counting is not shown: a second check in submit refuses too.

Conclusion: no new work after the first sign, and shutdowns cut off nothing that is in progress.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -261,6 +261,10 @@
 	if o.state != Offered {
 		return &RefusedError{Offer: s.Offer, State: o.state, Reason: "offer_used"}
 	}
+	if now-o.changed >= c.o.OfferLife {
+		c.release(now, o, Withdrawn)
+		return &RefusedError{Offer: s.Offer, State: Withdrawn, Reason: "offer_expired"}
+	}
 	o.deadline = min(o.deadline, now+s.Remaining)
 	c.move(now, o, Accepted)
 	return nil
--- /dev/null
+++ b/internal/admission/frozen_test.go
@@ -0,0 +1,45 @@
+package admission_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/share"
+	"github.com/laburnumring/laburnumring/internal/ticket"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// TestFrozenAgent lets an agent stand still after it made an offer: when it goes on, it refuses the offer as not
+// run even if the router's start is the first thing that it sees.
+func TestFrozenAgent(t *testing.T) {
+	const life = 1 * clock.Second
+	for _, tc := range []struct {
+		name    string
+		frozen  clock.Millis
+		refused bool
+	}{
+		{"not frozen", 0, false},
+		{"almost expired", life - 1, false},
+		{"expired", life, true},
+		{"long expired", 10 * life, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := admission.New(admission.Options{
+				Incarnation: "i", Slots: 1, OfferLife: life, Order: share.NewLocal(func(string) int64 { return 1 }),
+			})
+			c.Leave(0, "router", ticket.Ticket{Request: "r", Attempt: 1, Team: "t", Cost: 1, Remaining: clock.Minute})
+			o := c.Fill(0)[0]
+			err := c.Accept(tc.frozen, ticket.Start{
+				Offer: o.ID, Router: "router", Request: "r", Attempt: 1, Team: "t", Remaining: clock.Minute,
+			})
+			var refused *admission.RefusedError
+			if errors.As(err, &refused) != tc.refused || tc.refused && !refused.NeverStarted() {
+				t.Errorf("error %v", err)
+			}
+			if tc.refused && c.InUse() != 0 {
+				t.Errorf("%d slots are in use", c.InUse())
+			}
+		})
+	}
+}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -99,6 +99,8 @@
 	metrics *metrics
 	// follower keeps config up to date.
 	follower *follower.Follower
+	// ended is closed when Run returns.
+	ended chan struct{}
 
 	mu sync.Mutex
 	// board, config and admission are guarded by mu, as are the maps.
@@ -135,6 +137,8 @@
 	router string
 	// readers is how many streams deliver the answer now.
 	readers int
+	// delivered says that a stream brought the answer to its end.
+	delivered bool
 	// idleSince is when the last stream ended.
 	idleSince clock.Millis
 	// endedAt is 0 while the request runs.
@@ -155,6 +159,7 @@
 		metrics:  newMetrics(),
 		board:    b,
 		config:   configuration.New(configuration.Options{Board: b, Random: rand.Float64}),
+		ended:    make(chan struct{}),
 		sessions: make(map[string]*session),
 		started:  make(map[string]*startedRun),
 		served:   make(map[string]int64),
@@ -209,6 +214,7 @@
 	a.settleClaims()
 	cancel()
 	wg.Wait()
+	close(a.ended)
 	return nil
 }
 
@@ -251,9 +257,10 @@
 func (a *Agent) inProgress() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	now := a.o.Clock.Now()
 	n := a.admission.InUse()
 	for _, s := range a.started {
-		if s.readers > 0 {
+		if s.endedAt != 0 && s.owesAnswer(now) {
 			n++
 		}
 	}
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -72,6 +72,9 @@
 	if len(s.outbox) == 0 && len(s.suspects) == 0 {
 		a.await(s)
 	}
+	if a.hasEnded() {
+		return errEnded
+	}
 	s.seen = a.o.Clock.Now()
 	reply.Suspects = a.news(s.seen, s)
 	reply.Offers = s.outbox
@@ -96,6 +99,7 @@
 	defer t.Stop()
 	select {
 	case <-wake:
+	case <-a.ended:
 	case <-t.C:
 	}
 	a.mu.Lock()
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -75,11 +75,13 @@
 // deliver copies a run's answer to a router; the run counts the stream already.
 func (a *Agent) deliver(w http.ResponseWriter, r *http.Request, out *answer.Writer, s *startedRun) {
 	rc := http.NewResponseController(w)
-	if err := s.run.Copy(r.Context(), out, rc.Flush); err != nil {
+	err := s.run.Copy(r.Context(), out, rc.Flush)
+	if err != nil {
 		a.o.Logger.Log(event.AnswerBroken, "router", s.router, "error", err)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	s.delivered = s.delivered || err == nil
 	s.readers--
 	s.idleSince = a.o.Clock.Now()
 }
--- /dev/null
+++ b/internal/dispatch/leaving.go
@@ -0,0 +1,20 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// AgentLeaving takes the tickets back from an agent that must get no more work and leaves them elsewhere.
+// Requests that are bound to it go on.
+func (c *Controller) AgentLeaving(now clock.Millis, server string) []Action {
+	var out []Action
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		if c.requests[id].hasTicket(server) {
+			out = append(out, Withdraw{Server: server, Request: id})
+		}
+	}
+	return append(out, c.AgentLost(now, server)...)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,7 +40,7 @@
 	minRetry = 500 * time.Millisecond
 	maxRetry = 4 * time.Second
 	// readsPerSecond bounds the idle reads of all processes of a site together.
-	readsPerSecond = 100
+	readsPerSecond = 200
 	// processesPerServer is the most processes that a site has for each of its backend servers.
 	processesPerServer = 2
 	// appendTimeout bounds the append of a snapshot.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -11,7 +11,8 @@
 // Controller writes the peers of a board. It is used by one goroutine at a time.
 type Controller struct {
 	b *board.Board
-	// listed holds servers that the VM list shows as leaving, by agent address.
+	// listed holds servers that the VM list shows, or last showed, as leaving, by server name. A mark ends when
+	// the list shows the VM as staying, or with the process that it was set for.
 	listed map[string]bool
 	// draining holds servers whose agent said that it takes no more work, by server name.
 	draining map[string]bool
@@ -34,11 +35,14 @@
 			c.b.RemovePeer(p.Server)
 			delete(c.draining, p.Server)
 			delete(c.down, p.Server)
+			delete(c.listed, p.Server)
 			removed = append(removed, p.Server)
 		}
 	}
 	for _, s := range site.Servers() {
-		if _, ok := c.b.Peer(s.Name()); ok {
+		if p, ok := c.b.Peer(s.Name()); ok {
+			p.Place = s.Place()
+			c.b.SetPeer(p)
 			continue
 		}
 		c.b.SetPeer(board.Peer{
@@ -51,7 +55,8 @@
 }
 
 // Answered records that a server's agent opened a session under incarnation. It reports whether the agent is
-// now ready.
+// now ready. What was known of an earlier incarnation does not bind a new one; if its VM is leaving, the next
+// look at the VM list says so again.
 func (c *Controller) Answered(name, incarnation string) bool {
 	p, ok := c.b.Peer(name)
 	if !ok {
@@ -60,6 +65,9 @@
 	if p.Incarnation != incarnation {
 		delete(c.draining, name)
 	}
+	if p.Incarnation != "" && p.Incarnation != incarnation {
+		delete(c.listed, name)
+	}
 	p.Incarnation = incarnation
 	p.Load = 0
 	p.Free = 0
@@ -95,19 +103,14 @@
 	c.b.SetPeer(p)
 }
 
-// Listed takes the platform's VM list and returns the servers that it newly shows as leaving. The list is
-// never a reason to believe in a server that does not answer.
+// Listed takes the platform's VM list and returns the servers that it newly shows as leaving. A server that the
+// list does not name keeps its state: the list lags, and an empty one says nothing of servers that answer. Nor
+// is the list a reason to believe in a server that does not answer.
 func (c *Controller) Listed(vms []laburnumring.VM) []string {
-	leaving := make(map[string]bool)
-	for _, vm := range vms {
-		if vm.Leaving {
-			leaving[vm.Address] = true
-		}
-	}
-	c.listed = leaving
+	l := newList(vms)
 	var out []string
 	for _, p := range c.b.Peers() {
-		if p.State == board.Silent {
+		if !c.mark(l, p) || p.State == board.Silent {
 			continue
 		}
 		state := c.state(p)
@@ -120,9 +123,28 @@
 	return out
 }
 
+// mark renews the mark of a server that the list names, and reports whether it names it.
+func (c *Controller) mark(l list, p board.Peer) bool {
+	leaving, ok := l.find(p.Address, c.serverAddress(p.Server))
+	switch {
+	case !ok:
+		return false
+	case leaving:
+		c.listed[p.Server] = true
+	default:
+		delete(c.listed, p.Server)
+	}
+	return true
+}
+
+func (c *Controller) serverAddress(name string) string {
+	s, _ := c.b.Site().Server(name)
+	return s.Address()
+}
+
 // state is the state of an agent that answers.
 func (c *Controller) state(p board.Peer) board.PeerState {
-	if c.draining[p.Server] || c.listed[p.Address] {
+	if c.draining[p.Server] || c.listed[p.Server] {
 		return board.Leaving
 	}
 	if c.down[p.Server] {
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -62,14 +62,11 @@
 }
 
 func (r *Router) serveCaller(w http.ResponseWriter, req *http.Request) {
-	r.mu.Lock()
-	r.inbound++
-	r.mu.Unlock()
-	defer func() {
-		r.mu.Lock()
-		r.inbound--
-		r.mu.Unlock()
-	}()
+	if !r.enter() {
+		refuseStopping(w)
+		return
+	}
+	defer r.leave()
 	now := r.o.Clock.Now()
 	c, err := r.parse(now, w, req)
 	defer r.release(c)
@@ -94,7 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.stopping {
-		return dispatch.Finish{Outcome: outcome.NotRun, Reason: "stopping", RetryAfter: clock.Second}
+		return dispatch.Finish{Outcome: outcome.NotRun, Reason: "stopping", RetryAfter: stoppingRetryAfter}
 	}
 	r.calls[c.id] = c
 	actions, err := r.dispatch.Submit(now, c.r)
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -146,17 +146,18 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.links[l.server] != l {
+		return
+	}
 	l.heard(reply.Version)
 	before, _ := r.board.Peer(l.server)
 	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining, reply.Down)
-	for _, o := range reply.Offers {
-		r.do(r.dispatch.Offer(now, l.server, o))
-	}
+	l.answerOffers(now, before.State, reply.Offers)
 	if state == board.Leaving && before.State != board.Leaving {
 		r.o.Logger.Log(event.AgentLeaving, "server", l.server, "source", "agent")
 	}
 	if state != board.Ready {
-		r.do(r.withdrawFrom(now, l.server))
+		r.do(r.dispatch.AgentLeaving(now, l.server))
 		return
 	}
 	if before.State == board.Down {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -275,12 +275,7 @@
 		defer r.mu.Unlock()
 		for _, name := range r.membership.Listed(vms) {
 			r.o.Logger.Log(event.AgentLeaving, "server", name, "source", "vm_list")
-			r.do(r.withdrawFrom(now, name))
+			r.do(r.dispatch.AgentLeaving(now, name))
 		}
 	})
 }
-
-// withdrawFrom takes all tickets back from a server that takes no more work; callers hold mu.
-func (r *Router) withdrawFrom(now clock.Millis, name string) []dispatch.Action {
-	return r.dispatch.AgentLost(now, name)
-}
--- a/laburnumring.go
+++ b/laburnumring.go
@@ -52,7 +52,8 @@
 
 // VM is one entry of the platform's VM list.
 type VM struct {
-	// Address is the VM's IP address and the port of the process on it.
+	// Address is the VM's IP address. With a port, it stands for the one process that listens there, and not for
+	// others on the same IP address.
 	Address string `json:"address"`
 	// Leaving says that the platform will soon take the VM away.
 	Leaving bool `json:"leaving"`
