dispatch: Eject servers that fail request after request

Cause: a server that answers errors at once is idle most of the time, asks for work and draws most of it.

Ruled out: shorter renewals (control traffic grows with waiting requests).

Change: a router that saw five attempts in a row fail at a server leaves it no tickets for 2 s, doubling to 30 s, unless that would leave less than half of the servers; a whole answer clears it. Agents tell routers of tickets that gave way, and remind them of poison when they refuse its ticket. Renewals widen to four agents instead of six.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -118,6 +118,8 @@
 	serverDown bool
 	// keyedHeld means that keyed tickets are passed over.
 	keyedHeld bool
+	// evicted holds what Evicted has not returned.
+	evicted []ticket.Ref
 	// lone keeps the turns of suspected requests.
 	lone loneTurn
 	// count numbers the offers.
@@ -169,8 +171,7 @@
 	return true
 }
 
-// makeRoom reports whether w's team may have another ticket. An older request takes the place of the youngest,
-// whose ticket its router renews later.
+// makeRoom reports whether w's team may have another ticket. An older request takes the place of the youngest.
 func (c *Controller) makeRoom(w *waiting) bool {
 	q := c.queues[w.t.Team]
 	if len(q) < c.o.TicketLimit {
@@ -181,9 +182,17 @@
 		return false
 	}
 	c.remove(youngest)
+	c.evicted = append(c.evicted, youngest.ref)
 	return true
 }
 
+// Evicted returns, once, the requests whose tickets gave way to older ones.
+func (c *Controller) Evicted() []ticket.Ref {
+	out := c.evicted
+	c.evicted = nil
+	return out
+}
+
 // insert keeps q sorted by age, oldest first.
 func insert(q []*waiting, w *waiting) []*waiting {
 	i := len(q)
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -53,13 +53,25 @@
 	for _, t := range args.Leave {
 		if !a.admission.Leave(now, args.Router, t) {
 			reply.Refused = append(reply.Refused, t.Request)
+			a.remind(now, s, t.Fingerprint)
 		}
 	}
+	a.tellEvicted()
 	a.fill(now)
 	a.wakeIdle()
 	return nil
 }
 
+// tellEvicted lets routers know of tickets that gave way to older ones; callers hold mu.
+func (a *Agent) tellEvicted() {
+	for _, ref := range a.admission.Evicted() {
+		if s, ok := a.sessions[ref.Router]; ok {
+			s.evicted = append(s.evicted, ref.Request)
+			s.notify()
+		}
+	}
+}
+
 // Offers waits for offers to the router.
 func (c *calls) Offers(args peer.OffersArgs, reply *peer.OffersReply) error {
 	a := c.a
@@ -69,7 +81,7 @@
 	if !ok {
 		return fmt.Errorf("router %s has no session", args.Router)
 	}
-	if len(s.outbox) == 0 && len(s.suspects) == 0 {
+	if len(s.outbox)+len(s.suspects)+len(s.evicted) == 0 {
 		a.await(s)
 	}
 	if a.hasEnded() {
@@ -79,6 +91,8 @@
 	reply.Suspects = a.news(s.seen, s)
 	reply.Offers = s.outbox
 	s.outbox = nil
+	reply.Refused = s.evicted
+	s.evicted = nil
 	reply.Load = a.admission.InUse() + a.admission.Waiting()
 	reply.Slots = a.o.Server.Slots()
 	if a.admission.Waiting() == 0 && !a.o.Policy.Pushes() {
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -12,6 +12,8 @@
 	outbox []ticket.Offer
 	// suspects holds the fingerprints of which the router has not heard.
 	suspects []uint64
+	// evicted holds the requests of the router whose tickets gave way to older ones.
+	evicted []string
 	// wake is closed and replaced when there is something to fetch.
 	wake chan struct{}
 	// seen is when the router last called.
--- a/internal/agent/suspects.go
+++ b/internal/agent/suspects.go
@@ -65,3 +65,11 @@
 	s.suspects = nil
 	return out
 }
+
+// remind tells a router again of a poison request whose ticket it left; callers hold mu.
+func (a *Agent) remind(now clock.Millis, s *session, fingerprint uint64) {
+	if a.suspects.Kind(now, fingerprint) == suspect.Confirmed {
+		s.suspects = append(s.suspects, fingerprint)
+		s.notify()
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -91,6 +91,8 @@
 	budgets map[group]*budget.Budget
 	// drains holds the observed rate of each group that ever had a request bound.
 	drains map[group]*drain
+	// outliers holds the servers whose last attempts failed.
+	outliers map[string]*outlier
 	// retries counts attempts after one that may have started; each was taken from a budget.
 	retries int64
 }
@@ -106,6 +108,7 @@
 		queues:   make(map[group][]*pending),
 		budgets:  make(map[group]*budget.Budget),
 		drains:   make(map[group]*drain),
+		outliers: make(map[string]*outlier),
 	}
 }
 
@@ -143,7 +146,7 @@
 // Free tells that an agent has n slots that no ticket fills, and leaves tickets with it.
 func (c *Controller) Free(now clock.Millis, server string, n int) []Action {
 	peer, ok := c.o.Board.Peer(server)
-	if !ok || peer.State != board.Ready {
+	if !ok || peer.State != board.Ready || !c.usable(now, peer) {
 		return nil
 	}
 	var out []Action
@@ -209,6 +212,7 @@
 	} else {
 		p.tries++
 	}
+	c.judge(now, p.bound, res, p.aborted)
 	if !c.mayRetry(now, p, res) {
 		return c.finish(now, p, c.final(p, res))
 	}
@@ -401,24 +405,31 @@
 			continue
 		}
 		p.scheduleRenewal(now)
-		for _, server := range c.o.Placement.Choose(c.targets(p)) {
+		for _, server := range c.o.Placement.Choose(c.targets(now, p)) {
 			out = append(out, c.leave(now, p, server))
 		}
 	}
 	return out
 }
 
-// targets lists the agents that may run p; the one that failed it last only when there is no other.
-func (c *Controller) targets(p *pending) []laburnumring.Target {
+// targets lists the agents that may run p, without outliers; the one that failed it last only when there is no
+// other.
+func (c *Controller) targets(now clock.Millis, p *pending) []laburnumring.Target {
+	out := c.withoutOutliers(now, c.ready(p.r.Service))
+	if len(out) > 1 {
+		out = slices.DeleteFunc(out, func(t laburnumring.Target) bool { return t.Server == p.avoid })
+	}
+	return out
+}
+
+// ready lists the agents of a service that take work.
+func (c *Controller) ready(service string) []laburnumring.Target {
 	var out []laburnumring.Target
-	for _, peer := range c.o.Board.ReadyPeers(p.r.Service) {
+	for _, peer := range c.o.Board.ReadyPeers(service) {
 		out = append(out, laburnumring.Target{
 			Server: peer.Server, Place: peer.Place, Slots: peer.Slots, Load: peer.Load,
 		})
 	}
-	if len(out) > 1 {
-		out = slices.DeleteFunc(out, func(t laburnumring.Target) bool { return t.Server == p.avoid })
-	}
 	return out
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -141,6 +141,13 @@
 		return b.print(b.c.AttemptEnded(b.now, args[0], attempt, dispatch.Result{
 			Outcome: outcome.Outcome(args[1]), Reason: "reason", Delivered: int64(delivered), Final: slices.Contains(args, "final"),
 		}))
+	case "fail":
+		_, _ = b.submit(args[0], false, clock.Second)
+		b.offer(args[1], args[0], 1)
+		b.c.AttemptEnded(b.now, args[0], 1, dispatch.Result{Outcome: outcome.Failed})
+		return ""
+	case "free":
+		return b.print(b.c.Free(b.now, args[0], 1))
 	case "refused":
 		b.c.TicketRefused(b.now, args[1], args[0])
 		return ""
--- a/internal/dispatch/renewal.go
+++ b/internal/dispatch/renewal.go
@@ -8,7 +8,7 @@
 )
 
 // maxTickets is with how many agents a request's tickets are left at most by renewals.
-const maxTickets = 6
+const maxTickets = 4
 
 // renew leaves the tickets of waiting requests again, since an agent may have lost them without a sign.
 func (c *Controller) renew(now clock.Millis) []Action {
@@ -35,7 +35,7 @@
 	servers := p.tickets
 	p.tickets = nil
 	var out []Action
-	for _, server := range append(servers, c.another(p, servers)...) {
+	for _, server := range append(servers, c.another(now, p, servers)...) {
 		out = append(out, c.leave(now, p, server))
 	}
 	return out
@@ -43,11 +43,11 @@
 
 // another chooses one more agent for a request that has waited long, since those that have its ticket may
 // serve nobody.
-func (c *Controller) another(p *pending, servers []string) []string {
+func (c *Controller) another(now clock.Millis, p *pending, servers []string) []string {
 	if len(servers) >= maxTickets {
 		return nil
 	}
-	rest := slices.DeleteFunc(c.targets(p), func(t laburnumring.Target) bool {
+	rest := slices.DeleteFunc(c.targets(now, p), func(t laburnumring.Target) bool {
 		return slices.Contains(servers, t.Server)
 	})
 	if len(rest) == 0 {
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -63,6 +63,8 @@
 // OffersReply carries offers and the agent's state; it is the agent's heartbeat too.
 type OffersReply struct {
 	Offers []ticket.Offer
+	// Refused holds the ids of requests whose tickets are not held any more.
+	Refused []string
 	// Suspects holds news of requests that take servers down.
 	Suspects []suspect.Entry
 	// Free is how many slots no ticket fills.
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -152,6 +152,9 @@
 	l.heard(reply.Version)
 	before, _ := r.board.Peer(l.server)
 	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining, reply.Down)
+	for _, id := range reply.Refused {
+		r.dispatch.TicketRefused(now, l.server, id)
+	}
 	l.answerOffers(now, before.State, reply.Offers)
 	if state == board.Leaving && before.State != board.Leaving {
 		r.o.Logger.Log(event.AgentLeaving, "server", l.server, "source", "agent")
--- a/internal/soak/agent_test.go
+++ b/internal/soak/agent_test.go
@@ -233,3 +233,11 @@
 		a.t.send(&a.node, &r.node, func() { r.frame(run.start.Request, run.start.Attempt, f) })
 	}
 }
+
+func (a *agentNode) tellEvicted() {
+	for _, ref := range a.admission.Evicted() {
+		if r, ok := a.routers[ref.Router]; ok {
+			a.t.send(&a.node, &r.node, func() { r.dispatch.TicketRefused(a.t.now, a.name, ref.Request) })
+		}
+	}
+}
