cost: Charge what was received, and learn what hints are worth

A charge of eight times the cost was cut off at the bound on the lead, and the refund at the end then became a credit.

Change: a team's counters hold what it received, as it streams, and only grow. What running requests are expected to cost stands beside it at the agent and is never bounded. internal/cost scales a team's hints by what they were worth, or takes the mean of its costs when that was nearer lately.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/cost"
 	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/ticket"
@@ -47,6 +48,8 @@
 	Slots int
 	// Order decides whose request is next.
 	Order laburnumring.TeamOrder
+	// Costs predicts what a request costs; hints are taken as they are when nil.
+	Costs *cost.Estimator
 	// OfferLife is how long a slot is held for a router's answer.
 	OfferLife clock.Millis
 	// EndedLife is how long the end of an offer is remembered.
@@ -86,8 +89,9 @@
 	changed clock.Millis
 	// deadline is the request's deadline by this clock.
 	deadline clock.Millis
-	// charged is what the team was charged so far, in service units.
-	charged int64
+	// charged is what the team was charged so far and expected what is still to come, in service units.
+	charged  int64
+	expected int64
 	// alone says that nothing else is inside the server while the offer holds its slot.
 	alone bool
 }
@@ -308,8 +312,7 @@
 	if !ok || total <= o.charged {
 		return
 	}
-	c.o.Order.Charge(o.t.Team, total-o.charged)
-	o.charged = total
+	c.settle(o, total)
 }
 
 // End frees the slot of a started offer and settles its charge at total units.
@@ -318,8 +321,10 @@
 	if !ok || o.state != Started {
 		return
 	}
-	c.o.Order.Charge(o.t.Team, total-o.charged)
-	o.charged = total
+	if total > o.charged {
+		c.settle(o, total)
+	}
+	c.learn(o.t, total)
 	c.release(now, o, Ended)
 }
 
@@ -410,7 +415,7 @@
 		state:    Offered,
 		changed:  now,
 		deadline: w.deadline,
-		charged:  w.t.Cost,
+		expected: c.expect(w.t),
 		alone:    alone,
 	}
 	if alone {
@@ -420,7 +425,7 @@
 	c.live[w.ref] = append(c.live[w.ref], o)
 	c.inUse++
 	c.o.Invariants.Checkf(c.inUse <= c.limit, "slots", "%d slots in use of %d", c.inUse, c.limit)
-	c.o.Order.Charge(o.t.Team, o.charged)
+	c.o.Order.Expect(o.t.Team, o.expected)
 	return o.message
 }
 
@@ -442,7 +447,7 @@
 	o.changed = now
 }
 
-// release frees the offer's slot. What was charged for work that never started is given back.
+// release frees the offer's slot. Nothing more is expected of it.
 func (c *Controller) release(now clock.Millis, o *offer, s State) {
 	c.move(now, o, s)
 	c.inUse--
@@ -451,10 +456,8 @@
 		c.lone.running = nil
 		c.passTurn(now)
 	}
-	if s == Withdrawn {
-		c.o.Order.Charge(o.t.Team, -o.charged)
-		o.charged = 0
-	}
+	c.o.Order.Expect(o.t.Team, -o.expected)
+	o.expected = 0
 }
 
 func (c *Controller) forgetLive(o *offer) {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/asking"
 	"github.com/laburnumring/laburnumring/internal/board"
 	"github.com/laburnumring/laburnumring/internal/configuration"
+	"github.com/laburnumring/laburnumring/internal/cost"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/follower"
 	"github.com/laburnumring/laburnumring/internal/interval"
@@ -177,6 +178,7 @@
 		Incarnation: o.Incarnation,
 		Slots:       o.Server.Slots(),
 		Order:       order,
+		Costs:       cost.New(),
 		Suspects:    a.suspects,
 		Invariants:  o.Logger.Invariants(a.metrics.violations.Inc),
 	})
--- a/internal/share/fleet.go
+++ b/internal/share/fleet.go
@@ -164,7 +164,7 @@
 		if found && !f.view.teams[c.Team].waiting {
 			v = max(v, least)
 		}
-		v = v/f.agents + f.local.served[c.Team]
+		v = v/f.agents + f.local.counter(c.Team)
 		if i == 0 || v < bestCounter {
 			best, bestCounter = i, v
 		}
@@ -172,6 +172,10 @@
 	return best
 }
 
+// Expect implements laburnumring.TeamOrder. Only service that was received is reported, so that what was
+// expected wrongly never has to be taken back from a counter that was bounded meanwhile.
+func (f *Fleet) Expect(team string, units int64) { f.local.Expect(team, units) }
+
 // Charge implements laburnumring.TeamOrder.
 func (f *Fleet) Charge(team string, units int64) {
 	f.local.Charge(team, units)
--- a/internal/share/local.go
+++ b/internal/share/local.go
@@ -12,6 +12,8 @@
 	weight func(team string) int64
 	// served holds units received, in service units times scale, by team.
 	served map[string]int64
+	// expected holds what offered and running requests are still to cost, in the same unit.
+	expected map[string]int64
 	// active holds the teams that were candidates at the last choice.
 	active map[string]bool
 }
@@ -23,7 +25,7 @@
 
 // NewLocal returns an order for teams whose weights are told by weight.
 func NewLocal(weight func(team string) int64) *Local {
-	return &Local{weight: weight, served: make(map[string]int64), active: make(map[string]bool)}
+	return &Local{weight: weight, served: make(map[string]int64), expected: make(map[string]int64), active: make(map[string]bool)}
 }
 
 // Next implements laburnumring.TeamOrder: the team with the least weighted service.
@@ -31,13 +33,21 @@
 	l.lift(candidates)
 	best := 0
 	for i, c := range candidates {
-		if l.served[c.Team] < l.served[candidates[best].Team] {
+		if l.counter(c.Team) < l.counter(candidates[best].Team) {
 			best = i
 		}
 	}
 	return best
 }
 
+// Expect implements laburnumring.TeamOrder.
+func (l *Local) Expect(team string, units int64) {
+	l.expected[team] += units * scale / l.weight(team)
+}
+
+// counter is what a team has received and is still to receive for what runs.
+func (l *Local) counter(team string) int64 { return l.served[team] + l.expected[team] }
+
 // Charge implements laburnumring.TeamOrder.
 func (l *Local) Charge(team string, units int64) {
 	l.served[team] += units * scale / l.weight(team)
--- a/internal/share/oldest.go
+++ b/internal/share/oldest.go
@@ -21,5 +21,8 @@
 	return best
 }
 
+// Expect implements laburnumring.TeamOrder.
+func (Oldest) Expect(string, int64) {}
+
 // Charge implements laburnumring.TeamOrder.
 func (Oldest) Charge(string, int64) {}
--- a/policy.go
+++ b/policy.go
@@ -14,7 +14,10 @@
 type TeamOrder interface {
 	// Next returns the index in candidates of the team to serve. There is at least one, sorted by name.
 	Next(now clock.Millis, candidates []Candidate) int
-	// Charge adds units of service to team; a correction may be negative.
+	// Expect adds to what team's offered and running requests are still expected to cost; it is negative when
+	// they cost it, or will not.
+	Expect(team string, units int64)
+	// Charge adds units of service that team has received.
 	Charge(team string, units int64)
 }
 
