slopes: Measure the fair share's root as teams move

Cause: the share tree's traffic grows with the teams that move, and the slopes measured it on five agents only. Change: an axis of a root with eight children; the page charges an agent with the root's cost.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -92,7 +92,7 @@
 		{"router", "keyed requests", "keyed_requests_per_s", perRouter * s.KeyedShare, true},
 		{"router", "tokens", "tokens_per_s", s.TokensPerS / s.Routers, true},
 		{"agent", "sessions of routers", "routers_idle", s.Routers * links / s.Agents, false},
-		{"agent", "teams", "teams", s.Teams, false},
+		{"agent", "fair share at a root, all teams moving", "moving_teams", s.Teams, false},
 		{"agent", "waiting requests", "waiting_requests", s.Backlogged * s.Window / s.Agents, false},
 		{"agent", "configuration changes", "configuration_changes_per_s", s.ChangesPerDay / secondsPerDay, false},
 		{"agent", "requests", "plain_requests_per_s", perAgent, true},
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -44,6 +44,8 @@
 	// works names the service whose agents share the load; empty when no load is grown. An agent's size is
 	// then its part of the load.
 	works string
+	// only names the one server whose agent is measured; empty for all.
+	only string
 	// perPeriod says that a size is a number of events in the period, which becomes a rate.
 	perPeriod bool
 	// during is called once while the fleet is measured; nil for nothing.
@@ -70,6 +72,10 @@
 	baseRate   = 20
 	baseTokens = 16
 	manySlots  = 64
+	// treeAgents are a root of the share tree and its children; at treeRate each serves many teams in a second.
+	treeAgents = 9
+	treeRate   = 300
+	treeTokens = 4
 )
 
 func axes() []axis {
@@ -119,6 +125,13 @@
 		{name: "configuration_changes_per_s", perPeriod: true, sizes: []float64{0, 2, 4}, shape: func(float64) (fleet.Options, drive) {
 			return base()
 		}, during: publishLarge},
+		{name: "moving_teams", only: fleet.ModelService + "-1", sizes: []float64{8, 32, 128}, shape: func(x float64) (fleet.Options, drive) {
+			o, d := base()
+			o.Models, o.Teams, d.teams = treeAgents, int(x), int(x)
+			o.AgentSettings = "share: {period_ms: 1000}\n"
+			d.rate, d.tokens = treeRate, treeTokens
+			return o, d
+		}},
 		{name: "agent_restarts_per_s", perPeriod: true, sizes: []float64{0, 1, 2}, shape: func(float64) (fleet.Options, drive) {
 			o, d := base()
 			d.rate, d.tokens = baseRate, baseTokens
@@ -223,7 +236,7 @@
 }
 
 func measurePeriod(ctx context.Context, o Options, a axis, x float64, f *fleet.Fleet) (map[string]rates, error) {
-	targets := targetsOf(f, a.works)
+	targets := targetsOf(f, a)
 	start := time.Now()
 	before, err := sampleAll(ctx, targets)
 	if err != nil {
@@ -251,8 +264,16 @@
 	return out, nil
 }
 
-// targetsOf lists the routers and the agents of the service that works, or of all when it is empty.
-func targetsOf(f *fleet.Fleet, works string) map[string][]target {
+// measures reports whether the agent beside s is measured.
+func (a axis) measures(s server.Server) bool {
+	if a.only != "" {
+		return s.Name() == a.only
+	}
+	return a.works == "" || s.Service() == a.works
+}
+
+// targetsOf lists the processes that are measured, by role.
+func targetsOf(f *fleet.Fleet, a axis) map[string][]target {
 	out := make(map[string][]target)
 	out[platform] = []target{{process: f.Process(platform), stats: "http://" + f.Platform() + "/stats"}}
 	for i, address := range f.Routers() {
@@ -262,7 +283,7 @@
 		})
 	}
 	for _, s := range f.Site().Servers() {
-		if works != "" && s.Service() != works {
+		if !a.measures(s) {
 			continue
 		}
 		out[agent] = append(out[agent], target{
