router: End waiting requests when a shutdown reaches its limit

Cause: at the limit of a shutdown, requests that still waited in the router lost their connection, though they had certainly not run.

Change: at the limit, waiting requests are refused as not run with the time to come back.

Ruled out: holding the requests until the process ends; their answer is known.

Conclusion: a shutdown gives every request that it ends its true outcome, as far as it can; running ones are cut off at the limit.

--- a/internal/router/leaving.go
+++ b/internal/router/leaving.go
@@ -48,3 +48,11 @@
 	w.Header().Set("Connection", "close")
 	refuseBad(w, &badRequestError{http.StatusServiceUnavailable, "stopping", "the router is shutting down"})
 }
+
+// endWaiting refuses the requests that still wait when a shutdown has reached its limit.
+func (r *Router) endWaiting() {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.do(r.dispatch.EndWaiting(now))
+}
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,10 +18,12 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/caller"
+	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/header"
 	"github.com/laburnumring/laburnumring/pkg/place"
 	"github.com/laburnumring/laburnumring/pkg/retry"
@@ -74,6 +78,51 @@
 	l.vms = vms
 }
 
+// memoryLog is a platform log that keeps everything.
+type memoryLog struct {
+	mu      sync.Mutex
+	streams map[string][]laburnumring.Record
+}
+
+func (l *memoryLog) Append(_ context.Context, stream string, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.streams == nil {
+		l.streams = make(map[string][]laburnumring.Record)
+	}
+	offset := int64(len(l.streams[stream]))
+	l.streams[stream] = append(l.streams[stream], laburnumring.Record{Offset: offset, Data: data})
+	return offset, nil
+}
+
+func (l *memoryLog) Read(_ context.Context, stream string, from int64, _ clock.Millis) (laburnumring.Page, error) {
+	time.Sleep(time.Millisecond)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	records := l.streams[stream]
+	p := laburnumring.Page{Next: int64(len(records))}
+	if from < p.Next {
+		p.Records = slices.Clone(records[from:])
+	}
+	return p, nil
+}
+
+// publish makes st the configuration of a version.
+func (l *memoryLog) publish(t *testing.T, st *site.Site, version int64) {
+	t.Helper()
+	text, err := st.YAML()
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := configuration.Record{
+		Type: configuration.Change, ID: fmt.Sprint(version), From: version - 1, Version: version, Text: string(text),
+	}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = l.Append(t.Context(), configuration.Stream, data)
+}
+
 // events keeps the log of a process.
 type events struct {
 	mu   sync.Mutex
@@ -139,45 +188,57 @@
 	router *process
 	// addresses are those of the agents.
 	addresses []string
+	log       *memoryLog
 }
 
 const shutdownLimit = time.Hour
 
 func newGated(t *testing.T, servers int) *gated {
-	g := &gated{vms: &vmList{}}
-	st := site.New("gated")
-	st.AddTeams(team.New("brokers", team.Options{}))
-	st.AddPlaces(place.New("here", "north"))
-	st.AddServices(service.New("pool", service.Options{
-		Retry: retry.New(retry.Options{MaxAttempts: 1, Repeatable: true}),
-	}))
+	g := &gated{vms: &vmList{}, log: &memoryLog{}}
 	var handlers []*handlerSwitch
-	for i := range servers {
+	for range servers {
 		h := &handlerSwitch{}
 		s := httptest.NewServer(h)
 		t.Cleanup(s.Close)
 		handlers = append(handlers, h)
 		g.addresses = append(g.addresses, s.Listener.Addr().String())
-		st.AddServers(server.New([]string{"a", "b"}[i], server.Options{
-			Service: "pool", Place: "here", Slots: 1, Agent: g.addresses[i], Address: "192.0.2.1:" + []string{"1", "2"}[i],
-		}))
 	}
-	log := (&fleet{}).record(t, st)
+	st := g.site("a", "b")
+	g.log.publish(t, st, 1)
 	for i, v := range st.Servers() {
-		g.addAgent(t, handlers[i], v, log)
+		g.addAgent(t, handlers[i], v)
 	}
-	g.addRouter(t, log)
-	for _, name := range []string{"a", "b"}[:servers] {
-		g.router.events.await("event=3001", "server="+name)
+	g.addRouter(t)
+	for _, v := range st.Servers() {
+		g.router.events.await("event=3001", "server="+v.Name())
 	}
 	return g
 }
 
-func (g *gated) addAgent(t *testing.T, h *handlerSwitch, v server.Server, log laburnumring.Log) {
+// site returns a site with those of the servers a and b that are named and run.
+func (g *gated) site(names ...string) *site.Site {
+	st := site.New("gated")
+	st.AddTeams(team.New("brokers", team.Options{}))
+	st.AddPlaces(place.New("here", "north"))
+	st.AddServices(service.New("pool", service.Options{
+		Retry: retry.New(retry.Options{MaxAttempts: 1, Repeatable: true}),
+	}))
+	for i, address := range g.addresses {
+		name := []string{"a", "b"}[i]
+		if slices.Contains(names, name) {
+			st.AddServers(server.New(name, server.Options{
+				Service: "pool", Place: "here", Slots: 1, Agent: address, Address: fmt.Sprintf("192.0.2.1:%d", i+1),
+			}))
+		}
+	}
+	return st
+}
+
+func (g *gated) addAgent(t *testing.T, h *handlerSwitch, v server.Server) {
 	e := &events{}
 	b := newGate()
 	a, err := agent.New(agent.Options{
-		Server: v, Kind: service.Model, Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: log,
+		Server: v, Kind: service.Model, Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: g.log,
 		Backend: b, Logger: event.NewLogger(e, "logfmt", "agent"), LogTraffic: &traffic.Counter{},
 		ShutdownLimit: shutdownLimit,
 	})
@@ -189,10 +250,10 @@
 	g.agents = append(g.agents, run(t, e, a.Run))
 }
 
-func (g *gated) addRouter(t *testing.T, log laburnumring.Log) {
+func (g *gated) addRouter(t *testing.T) {
 	e := &events{}
 	r := router.New(router.Options{
-		Name: "router", Place: "here", Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: log,
+		Name: "router", Place: "here", Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: g.log,
 		VMs: g.vms, LogTraffic: &traffic.Counter{}, Logger: event.NewLogger(e, "logfmt", "router"),
 		ShutdownLimit: shutdownLimit, Rand: rand.New(rand.NewPCG(1, 1)), CallerAuth: caller.Header,
 	})
@@ -347,3 +408,25 @@
 	}
 	mustBeWhole(t, "waiting request", <-waiting)
 }
+
+// TestRetiredServer publishes a configuration without a server that runs a request: the request finishes, and
+// later ones run elsewhere.
+func TestRetiredServer(t *testing.T) {
+	checkLeaks(t)
+	g := newGated(t, 2)
+	running := g.startAll(t)
+	g.log.publish(t, g.site("b"), 2)
+	g.router.events.await("event=2001", "version=2")
+	later := g.send(t)
+	g.gates[1].let <- struct{}{}
+	<-g.gates[1].started
+	g.gates[1].let <- struct{}{}
+	mustBeWhole(t, "later request", <-later)
+	g.gates[0].let <- struct{}{}
+	for _, r := range running {
+		mustBeWhole(t, "request in progress", <-r)
+	}
+	if n := len(g.gates[0].started); n > 0 {
+		t.Errorf("the retired server started %d more requests", n)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -203,6 +203,7 @@
 	for r.inProgress() > 0 {
 		if time.Now().After(deadline) {
 			r.o.Logger.Log(event.StopLimit, "in_progress", r.inProgress())
+			r.endWaiting()
 			break
 		}
 		time.Sleep(tickInterval)
