router: Pause after a failed exchange of configurations

Cause: an agent that cannot adopt a router's configuration, being of another release, would be handed it, and event 2009 logged, twice a second on each link.

Change: five seconds pass after a failed exchange.

Ruled out: giving up on the link, which carries offers.

Measured: TestConfigurationTravelsBetweenPeers passes; the repeated failure itself has no test.

--- a/internal/router/configuration.go
+++ b/internal/router/configuration.go
@@ -15,6 +15,8 @@
 	// handOverDelay is the longest wait before an agent is given a newer configuration; other routers may be
 	// faster.
 	handOverDelay = 300 * time.Millisecond
+	// levelPause is the time after a failed exchange before the next one.
+	levelPause = 5 * time.Second
 	// seedPause is the time between two rounds of asking the seeds.
 	seedPause = 1 * time.Second
 )
@@ -46,7 +48,7 @@
 		}
 		if err := l.level(ctx, client); err != nil && ctx.Err() == nil {
 			l.r.o.Logger.Log(event.ConfigNotLeveled, "server", l.server, "error", err)
-			interval.Sleep(ctx, handOverDelay)
+			interval.Sleep(ctx, levelPause)
 		}
 	}
 }
