configuration: Fuzz that a version changes only by an accepted record

Change: FuzzRecord asserts that the version in force changes exactly when a record was accepted, and begins with a restore as well.

Ruled out: a fuzz test of its own; the records are the same.

--- a/internal/configuration/fuzz_test.go
+++ b/internal/configuration/fuzz_test.go
@@ -29,6 +29,7 @@
 		{Type: configuration.Change, ID: "a", Version: 1, Text: fuzzSite},
 		{Type: configuration.Change, ID: "b", From: 1, Version: 2, Text: fuzzSite},
 		{Type: configuration.Snapshot, ID: "c", Version: 2, Through: 1, Text: fuzzSite},
+		{Type: configuration.Restore, ID: "d", Version: 4, Text: fuzzSite},
 	} {
 		data, err := r.Encode()
 		if err != nil {
@@ -43,9 +44,10 @@
 			before := b.Version()
 			offset := int64(i)
 			page := laburnumring.Page{Next: offset + 1, Records: []laburnumring.Record{{Offset: offset, Data: data}}}
-			c.Take(0, configuration.Decode(page))
-			if b.Version() < before {
-				t.Fatalf("version %d after %d", b.Version(), before)
+			decisions := c.Take(0, configuration.Decode(page))
+			accepted := len(decisions) == 1 && decisions[0].Verdict == configuration.Accepted
+			if b.Version() < before || accepted != (b.Version() > before) {
+				t.Fatalf("version %d after %d, decisions %+v", b.Version(), before, decisions)
 			}
 			if b.Version() != c.State().Version {
 				t.Fatalf("the board has version %d, the controller %d", b.Version(), c.State().Version)
