router: Bound the time in which a caller reads its answer

Cause: a caller that stops reading held its handler, its answer and the agent's stream for ever; deadlines end attempts, not a blocked write.

Ruled out: the server's WriteTimeout, which is one time for all requests.

Change: writing to a caller ends 10 s after the request's deadline.

--- a/internal/httpserve/guard.go
+++ b/internal/httpserve/guard.go
@@ -30,8 +30,10 @@
 		g.BodyTimeout = DefaultBodyTimeout
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		// An earlier request on the connection may have left a deadline.
+		_ = rc.SetWriteDeadline(time.Time{})
 		if r.Body != nil && r.Body != http.NoBody {
-			rc := http.NewResponseController(w)
 			_ = rc.SetReadDeadline(time.Now().Add(g.BodyTimeout))
 			r.Body = &guardedBody{
 				ReadCloser: http.MaxBytesReader(w, r.Body, g.MaxBody),
--- /dev/null
+++ b/internal/router/deadline_test.go
@@ -0,0 +1,43 @@
+package router
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/laburnumring/laburnumring/internal/caller"
+	"github.com/laburnumring/laburnumring/pkg/header"
+)
+
+// deadlineRecorder records the last deadline for writing.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+// SetWriteDeadline is called by http.ResponseController.
+func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	d.deadline = t
+	return nil
+}
+
+// SetReadDeadline is called by http.ResponseController.
+func (d *deadlineRecorder) SetReadDeadline(time.Time) error { return nil }
+
+// TestWriteDeadline looks at how long a caller that does not read can hold its handler.
+func TestWriteDeadline(t *testing.T) {
+	r, _ := newCallersRouter(t, caller.Proof, long)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	req := goodRequest(ctx, "router")
+	req.URL.Host = ""
+	req.Header.Set(header.Deadline, "1500")
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	before := time.Now()
+	r.Handler().ServeHTTP(w, req)
+	span := (1500 + answerGrace).Duration()
+	if w.deadline.Before(before.Add(span)) || w.deadline.After(time.Now().Add(span)) {
+		t.Errorf("deadline %v after the request's arrival, want %v", w.deadline.Sub(before), span)
+	}
+}
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
@@ -35,6 +36,8 @@
 	maxKeyLength    = 256
 	minCost         = 1
 	maxCost         = 1 << 30
+	// answerGrace is how long after a request's deadline its answer may still be written.
+	answerGrace = 10 * clock.Second
 	// badRequestRetryAfter is when to send a faulty request again: not before the caller or the configuration
 	// has been corrected.
 	badRequestRetryAfter = 1 * clock.Minute
@@ -77,6 +80,8 @@
 		}
 		return
 	}
+	// A caller that stops reading must not hold its handler for ever.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add((c.r.Deadline - now + answerGrace).Duration()))
 	f := r.submit(now, c)
 	if f.Outcome == "" {
 		f = r.serve(req.Context(), c)
