status: Show how many slots an agent uses now

Cause: agents lower their limit while a server is slow; status showed the slots of the settings only. Change: a column and a field, limit, beside slots. Tests: rendering from data files, go test ./internal/{status,agent}: ok.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -355,6 +355,9 @@
 // SetServerUp tells whether the backend server answers.
 func (c *Controller) SetServerUp(up bool) { c.serverDown = !up }
 
+// Limit returns the most requests that may be inside the backend server now, at most its slots.
+func (c *Controller) Limit() int { return c.limit }
+
 // SetLimit changes the most requests inside the backend server. Running ones are not touched.
 func (c *Controller) SetLimit(n int) { c.limit = max(1, min(n, c.o.Slots)) }
 
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -42,7 +42,7 @@
 	}
 	out.Servers = []status.Server{{
 		Server: a.o.Server.Name(), Service: a.o.Server.Service(), Place: a.o.Server.Place(), State: out.State,
-		Slots: a.o.Server.Slots(), Busy: a.admission.InUse(), Tickets: a.admission.Waiting(),
+		Slots: a.o.Server.Slots(), Limit: a.admission.Limit(), Busy: a.admission.InUse(), Tickets: a.admission.Waiting(),
 	}}
 	return out
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -48,7 +48,7 @@
 // serverOf is a peer as a report shows it.
 func serverOf(p board.Peer) status.Server {
 	v := status.Server{
-		Server: p.Server, Service: p.Service, Place: p.Place, State: status.Silent, Slots: p.Slots, Busy: min(p.Load, p.Slots),
+		Server: p.Server, Service: p.Service, Place: p.Place, State: status.Silent, Slots: p.Slots, Limit: p.Slots, Busy: min(p.Load, p.Slots),
 	}
 	switch p.State {
 	case board.Ready:
--- a/internal/status/report.go
+++ b/internal/status/report.go
@@ -64,8 +64,10 @@
 	Place   string `json:"place"`
 	// State is one of the constants.
 	State string `json:"state"`
-	// Slots is the most requests at once, Busy how many run and Tickets how many are noted as waiting.
+	// Slots is the most requests at once and Limit how many the agent lets in now, which follows what the server
+	// shows; Busy is how many run and Tickets how many are noted as waiting.
 	Slots   int `json:"slots"`
+	Limit   int `json:"limit"`
 	Busy    int `json:"busy"`
 	Tickets int `json:"tickets"`
 }
--- a/internal/status/status_test.go
+++ b/internal/status/status_test.go
@@ -88,7 +88,7 @@
 		reports = append(reports, status.Report{
 			Role: status.AgentRole, Name: name, State: status.Ready, Version: 1700 - int64(i%380/379), AgeMs: clock.Minute,
 			Teams:   []status.Team{{Team: fmt.Sprintf("team-%03d", i%520), Service: "model-pool", Units: int64(i)}},
-			Servers: []status.Server{{Server: name, Service: "model-pool", Place: fmt.Sprintf("place-%d", i%6), State: status.Ready, Slots: 8, Busy: i % 9}},
+			Servers: []status.Server{{Server: name, Service: "model-pool", Place: fmt.Sprintf("place-%d", i%6), State: status.Ready, Slots: 8, Limit: 6, Busy: i % 9}},
 		})
 	}
 	return reports, missing
--- a/internal/status/table.go
+++ b/internal/status/table.go
@@ -172,9 +172,10 @@
 	if len(rows) == 0 {
 		return
 	}
-	p.head("servers", len(rows), all, "SERVER\tSERVICE\tPLACE\tSTATE\tSLOTS\tBUSY\tTICKETS")
+	p.head("servers", len(rows), all, "SERVER\tSERVICE\tPLACE\tSTATE\tSLOTS\tLIMIT\tBUSY\tTICKETS")
 	for _, v := range rows {
-		p.linef("%s\t%s\t%s\t%s\t%d\t%d\t%d", v.Server, v.Service, v.Place, v.State, v.Slots, v.Busy, v.Tickets)
+		p.linef("%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d",
+			v.Server, v.Service, v.Place, v.State, v.Slots, v.Limit, v.Busy, v.Tickets)
 	}
 }
 
