agent: End a router's session with its connection

Cause: after a router was killed, agents went on offering slots to its tickets for two seconds, each offer holding a slot until it expired.

Change: each connection has its own net/rpc receiver, which remembers the session that was opened on it; when the connection ends and the router has not opened another one, its tickets and unanswered offers are dropped.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,7 +7,6 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
-	"net/rpc"
 	"sync"
 	"time"
 
@@ -92,8 +91,6 @@
 type Agent struct {
 	o       Options
 	counter *traffic.Counter
-	// rpc holds what holders of each role may call.
-	rpc map[keys.Role]*rpc.Server
 	// runs owns the goroutines of running requests.
 	runs sync.WaitGroup
 	// metrics counts what happens.
@@ -195,9 +192,6 @@
 	if a.orders, err = newOrders(a); err != nil {
 		return nil, err
 	}
-	if err := a.registerCalls(); err != nil {
-		return nil, err
-	}
 	return a, nil
 }
 
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -7,9 +7,11 @@
 	"github.com/laburnumring/laburnumring/internal/peer"
 )
 
-// calls is the agent's net/rpc service.
+// calls is the agent's net/rpc service on one connection.
 type calls struct {
 	a *Agent
+	// session is the one that was opened on the connection, if any; guarded by the agent's mu.
+	session *session
 }
 
 // Hello opens a router's session.
@@ -26,6 +28,7 @@
 		s.suspects = append(s.suspects, e.Fingerprint)
 	}
 	a.sessions[args.Router] = s
+	c.session = s
 	reply.Server = a.o.Server.Name()
 	reply.Incarnation = a.o.Incarnation
 	reply.Version = a.board.Version()
--- a/internal/agent/roles.go
+++ b/internal/agent/roles.go
@@ -1,10 +1,10 @@
 package agent
 
 import (
-	"fmt"
 	"net/http"
 	"net/rpc"
 
+	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/share"
@@ -65,28 +65,40 @@
 	}
 }
 
-// registerCalls makes the net/rpc servers of all roles.
-func (a *Agent) registerCalls() error {
-	a.rpc = make(map[keys.Role]*rpc.Server)
-	for role, receiver := range callsByRole(&calls{a: a}) {
-		a.rpc[role] = rpc.NewServer()
-		if err := a.rpc[role].RegisterName(peer.Service, receiver); err != nil {
-			return fmt.Errorf("register rpc service: %w", err)
-		}
-	}
-	return nil
-}
-
 // serveRPC answers the calls of a connection whose certificate the gate has let in.
 func (a *Agent) serveRPC(w http.ResponseWriter, r *http.Request) {
 	var id keys.Identity
 	if r.TLS != nil && len(r.TLS.PeerCertificates) > 0 {
 		id, _ = keys.IdentityOf(r.TLS.PeerCertificates[0])
 	}
-	server, ok := a.rpc[id.Role]
+	c := &calls{a: a}
+	receiver, ok := callsByRole(c)[id.Role]
 	if !ok {
 		http.Error(w, "no calls for this role", http.StatusForbidden)
 		return
 	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(peer.Service, receiver); err != nil {
+		http.Error(w, "the calls cannot be served", http.StatusInternalServerError)
+		return
+	}
 	peer.Serve(w, r, server, a.counter)
+	a.hungUp(c)
+}
+
+// hungUp ends the session that was opened on a connection when the connection has ended: offers to a router
+// that went away would hold slots until they expire.
+func (a *Agent) hungUp(c *calls) {
+	now := a.o.Clock.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := c.session
+	if s == nil || a.sessions[s.router] != s {
+		return
+	}
+	delete(a.sessions, s.router)
+	a.admission.DropRouter(now, s.router)
+	a.o.Logger.Log(event.RouterGone, "router", s.router)
+	a.fill(now)
+	a.wakeIdle()
 }
