--- a/internal/share/local.go
+++ b/internal/share/local.go
@@ -57,7 +57,7 @@
 func (l *Local) lift(candidates []laburnumring.Candidate) {
 	least, found := int64(0), false
 	for _, c := range candidates {
-		if v := l.served[c.Team]; l.active[c.Team] && (!found || v < least) {
+		if v := l.counter(c.Team); l.active[c.Team] && (!found || v < least) {
 			least, found = v, true
 		}
 	}
@@ -65,7 +65,7 @@
 	for _, c := range candidates {
 		active[c.Team] = true
 		if found && !l.active[c.Team] {
-			l.served[c.Team] = max(l.served[c.Team], least)
+			l.served[c.Team] = max(l.served[c.Team], least-l.expected[c.Team])
 		}
 	}
 	l.active = active
