asking: Ask each router once after a time without idle slots

Cause: an idle agent asked routers for work each 100 ms for ever.

Ruled out: a longer backoff alone, which only divides the cost, and leaves routers that believe in full agents waiting longer.

Change: routers know an agent's load from every answer, so they need to be asked only once after all its slots were taken. A round asks each router once and ends. Placement takes agents with idle slots into its sample first.

TestARoundEnds fails before: the agent asks without end.

--- a/internal/agent/ask.go
+++ b/internal/agent/ask.go
@@ -7,11 +7,11 @@
 
 // wakeIdle asks routers in turn for work that no ticket here stands for; callers hold mu.
 func (a *Agent) wakeIdle() {
-	if a.admission.Waiting() > 0 {
-		a.asking.Found()
+	if a.admission.Free() == 0 {
+		a.asking.Begin()
 		return
 	}
-	if a.admission.Free() == 0 || a.o.Policy.Pushes() {
+	if a.admission.Waiting() > 0 || a.o.Policy.Pushes() {
 		return
 	}
 	for _, name := range a.asking.Next(a.o.Clock.Now(), a.parked()) {
--- a/internal/asking/asking.go
+++ b/internal/asking/asking.go
@@ -23,8 +23,9 @@
 	defaultMaxDelay = 100 * clock.Millis(1)
 )
 
-// Turn asks routers one batch after another with capped exponential backoff. It is used by one goroutine at a
-// time.
+// Turn asks each router once in a round, one batch after another with capped exponential backoff. After a round
+// the routers know of the idle slots, and nobody is asked until the next round begins. It is used by one
+// goroutine at a time.
 type Turn struct {
 	o Options
 	// last names the router that was asked last; the next batch begins behind it.
@@ -32,6 +33,8 @@
 	// due is when the next batch may be asked and delay the time before the one after.
 	due   clock.Millis
 	delay clock.Millis
+	// left is how many routers the round has not asked; -1 until the round's first batch.
+	left int
 }
 
 // New returns a turn that may ask at once.
@@ -45,20 +48,25 @@
 	if o.MaxDelay == 0 {
 		o.MaxDelay = defaultMaxDelay
 	}
-	return &Turn{o: o, delay: o.MinDelay}
+	return &Turn{o: o, delay: o.MinDelay, left: -1}
 }
 
-// Found tells that there is work: the next search begins without delay.
-func (t *Turn) Found() {
+// Begin lets a new round begin without delay. It is called while no slot is idle, since routers that hear so
+// leave no tickets until they are asked.
+func (t *Turn) Begin() {
 	t.due = 0
 	t.delay = t.o.MinDelay
+	t.left = -1
 }
 
 // Next returns the routers to ask now, of those that can be asked. They are sorted by name.
 func (t *Turn) Next(now clock.Millis, routers []string) []string {
-	if now < t.due || len(routers) == 0 {
+	if now < t.due || len(routers) == 0 || t.left == 0 {
 		return nil
 	}
+	if t.left < 0 {
+		t.left = len(routers)
+	}
 	t.due = now + t.delay
 	t.delay = min(t.o.MaxDelay, 2*t.delay)
 	first, exact := slices.BinarySearch(routers, t.last)
@@ -66,9 +74,10 @@
 		first++
 	}
 	var out []string
-	for i := range min(t.o.Batch, len(routers)) {
+	for i := range min(t.o.Batch, t.left, len(routers)) {
 		out = append(out, routers[(first+i)%len(routers)])
 	}
+	t.left -= len(out)
 	t.last = out[len(out)-1]
 	return out
 }
--- a/internal/asking/asking_test.go
+++ b/internal/asking/asking_test.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// TestFoundEndsTheBackoff checks that the search is quick again after there was work.
-func TestFoundEndsTheBackoff(t *testing.T) {
+// TestBeginEndsTheBackoff checks that a new round is quick.
+func TestBeginEndsTheBackoff(t *testing.T) {
 	turn := asking.New(asking.Options{})
 	all := routers(4)
 	for now := clock.Millis(0); now < 1000; now++ {
@@ -55,9 +55,9 @@
 	if got := turn.Next(1001, all); got != nil {
 		t.Fatalf("asked %v during the backoff", got)
 	}
-	turn.Found()
+	turn.Begin()
 	if got := turn.Next(1002, all); len(got) != len(all) {
-		t.Fatalf("asked %v after work was found", got)
+		t.Fatalf("asked %v in a new round", got)
 	}
 }
 
@@ -71,3 +71,15 @@
 		t.Fatalf("asked %v", got)
 	}
 }
+
+// TestARoundEnds checks that idle agents are quiet once every router was asked.
+func TestARoundEnds(t *testing.T) {
+	turn := asking.New(asking.Options{})
+	total := 0
+	for now := clock.Millis(0); now < 60_000; now++ {
+		total += len(turn.Next(now, routers(20)))
+	}
+	if total != 20 {
+		t.Fatalf("%d questions to 20 routers in a minute", total)
+	}
+}
--- a/internal/placement/sample.go
+++ b/internal/placement/sample.go
@@ -9,7 +9,8 @@
 	"github.com/laburnumring/laburnumring"
 )
 
-// Sample chooses a few agents: those with the least load for their slots among a random sample.
+// Sample chooses a few agents: those with the least load for their slots among a random sample. Agents with
+// idle slots come into the sample first.
 type Sample struct {
 	rng *rand.Rand
 	// tickets is how many agents are chosen; at least 1.
@@ -27,6 +28,7 @@
 func (s *Sample) Choose(targets []laburnumring.Target) []string {
 	pool := slices.Clone(targets)
 	s.rng.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
+	slices.SortStableFunc(pool, func(a, b laburnumring.Target) int { return cmp.Compare(full(a), full(b)) })
 	pool = pool[:min(len(pool), 2*s.tickets)]
 	slices.SortStableFunc(pool, func(a, b laburnumring.Target) int {
 		return cmp.Compare(a.Load*max(1, b.Slots), b.Load*max(1, a.Slots))
@@ -37,3 +39,11 @@
 	}
 	return out
 }
+
+// full is 1 for an agent without idle slots and 0 for one with.
+func full(t laburnumring.Target) int {
+	if t.Load >= t.Slots {
+		return 1
+	}
+	return 0
+}
