errorx: Decorate errors at package borders by the library

Cause: the house style names errorx; plain wrapping stood in its place. Ruled out: errorx's own types in place of typed errors with fields, which the same style asks for; errors.As passes through the decoration.

--- a/internal/agent/order.go
+++ b/internal/agent/order.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/rpc"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/event"
@@ -47,7 +48,7 @@
 func newOrders(a *Agent) (*orders, error) {
 	o := &orders{c: order.New(), rpc: rpc.NewServer()}
 	if err := o.rpc.RegisterName(peer.OperatorService, &operatorCalls{a: a}); err != nil {
-		return nil, fmt.Errorf("register rpc service for operators: %w", err)
+		return nil, errorx.Decorate(err, "register rpc service for operators")
 	}
 	return o, nil
 }
--- a/internal/backend/order.go
+++ b/internal/backend/order.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring"
 )
 
@@ -23,7 +24,7 @@
 func (m *Model) Order(ctx context.Context, fence int64, o laburnumring.Order) error {
 	body, err := json.Marshal(o)
 	if err != nil {
-		return fmt.Errorf("encode order: %w", err)
+		return errorx.Decorate(err, "encode order")
 	}
 	h := http.Header{}
 	h.Set(FenceHeader, strconv.FormatInt(fence, 10))
--- a/internal/commands/config.go
+++ b/internal/commands/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/publication"
@@ -91,7 +92,7 @@
 func readSite(file string) (string, *site.Site, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return "", nil, fmt.Errorf("read configuration: %w", err)
+		return "", nil, errorx.Decorate(err, "read configuration")
 	}
 	s, err := site.Parse(file, data)
 	return string(data), s, err
--- a/internal/commands/order.go
+++ b/internal/commands/order.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/keys"
@@ -131,7 +132,7 @@
 	case <-call.Done:
 	}
 	if call.Error != nil {
-		return fmt.Errorf("order to agent %s may have been carried out: %w", address, call.Error)
+		return errorx.Decorate(call.Error, "order to agent %s may have been carried out", address)
 	}
 	if reply.Outcome != outcome.Whole {
 		return &orderError{Reply: reply}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/pkg/place"
 	"github.com/laburnumring/laburnumring/pkg/retry"
@@ -298,7 +300,7 @@
 	for _, address := range f.routers {
 		for !Answers(ctx, "http://"+address+"/readyz") {
 			if ctx.Err() != nil {
-				return fmt.Errorf("router at %s is not ready: %w", address, ctx.Err())
+				return errorx.Decorate(ctx.Err(), "router at %s is not ready", address)
 			}
 			time.Sleep(pollPause)
 		}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -10,6 +10,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Process is one program that a Fleet started.
@@ -37,14 +39,14 @@
 func (p *Process) start() error {
 	out, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return fmt.Errorf("open log of %s: %w", p.name, err)
+		return errorx.Decorate(err, "open log of %s", p.name)
 	}
 	defer func() { _ = out.Close() }()
 	p.cmd = exec.Command(p.path, p.args...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	if err := p.cmd.Start(); err != nil {
-		return fmt.Errorf("start %s: %w", p.name, err)
+		return errorx.Decorate(err, "start %s", p.name)
 	}
 	return nil
 }
@@ -98,11 +100,11 @@
 	root := fmt.Sprintf("/proc/%d", p.cmd.Process.Pid)
 	cpu, err := processorTime(root)
 	if err != nil {
-		return Usage{}, fmt.Errorf("read processor time of %s: %w", p.name, err)
+		return Usage{}, errorx.Decorate(err, "read processor time of %s", p.name)
 	}
 	resident, err := residentBytes(root)
 	if err != nil {
-		return Usage{}, fmt.Errorf("read memory of %s: %w", p.name, err)
+		return Usage{}, errorx.Decorate(err, "read memory of %s", p.name)
 	}
 	return Usage{CPU: cpu, Resident: resident}, nil
 }
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -5,11 +5,12 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
 
@@ -76,7 +77,7 @@
 	}
 	ln, err := net.Listen("tcp", l.Address)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, errorx.Decorate(err, "listen")
 	}
 	return ln, nil
 }
--- a/internal/keys/trial.go
+++ b/internal/keys/trial.go
@@ -7,12 +7,13 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
-	"fmt"
 	"math/big"
 	"net/url"
 	"os"
 	"path/filepath"
 	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Names of the authority's files in a directory of trial keys.
@@ -43,7 +44,7 @@
 // NewTrial makes an authority that is valid for life from now on and writes its files to dir.
 func NewTrial(dir string, now time.Time, life time.Duration) (*Trial, error) {
 	if err := os.MkdirAll(dir, keyDirMode); err != nil {
-		return nil, fmt.Errorf("make key directory: %w", err)
+		return nil, errorx.Decorate(err, "make key directory")
 	}
 	t := &Trial{dir: dir, now: now}
 	template, key, err := t.template("laburnumring trial authority", life)
@@ -103,11 +104,11 @@
 func (t *Trial) template(name string, life time.Duration) (*x509.Certificate, *ecdsa.PrivateKey, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
-		return nil, nil, fmt.Errorf("make key: %w", err)
+		return nil, nil, errorx.Decorate(err, "make key")
 	}
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
-		return nil, nil, fmt.Errorf("make serial number: %w", err)
+		return nil, nil, errorx.Decorate(err, "make serial number")
 	}
 	return &x509.Certificate{
 		SerialNumber: serial,
@@ -121,11 +122,11 @@
 func (t *Trial) write(template *x509.Certificate, key *ecdsa.PrivateKey, certFile, keyFile string) ([]byte, error) {
 	der, err := x509.CreateCertificate(rand.Reader, template, t.cert, key.Public(), t.key)
 	if err != nil {
-		return nil, fmt.Errorf("sign certificate: %w", err)
+		return nil, errorx.Decorate(err, "sign certificate")
 	}
 	secret, err := x509.MarshalPKCS8PrivateKey(key)
 	if err != nil {
-		return nil, fmt.Errorf("encode key: %w", err)
+		return nil, errorx.Decorate(err, "encode key")
 	}
 	if err := t.writePEM(keyFile, "PRIVATE KEY", secret); err != nil {
 		return nil, err
@@ -138,10 +139,10 @@
 	path := filepath.Join(t.dir, name)
 	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
 	if err := os.WriteFile(path+".new", text, keyFileMode); err != nil {
-		return fmt.Errorf("write key file: %w", err)
+		return errorx.Decorate(err, "write key file")
 	}
 	if err := os.Rename(path+".new", path); err != nil {
-		return fmt.Errorf("write key file: %w", err)
+		return errorx.Decorate(err, "write key file")
 	}
 	return nil
 }
--- a/internal/measure/cluster.go
+++ b/internal/measure/cluster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/fleet"
@@ -283,7 +284,7 @@
 func await(ctx context.Context, url string) error {
 	for !fleet.Answers(ctx, url) {
 		if ctx.Err() != nil {
-			return fmt.Errorf("%s does not answer: %w", url, ctx.Err())
+			return errorx.Decorate(ctx.Err(), "%s does not answer", url)
 		}
 		time.Sleep(pollPause)
 	}
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -75,7 +76,7 @@
 			}
 			for _, p := range m.o.Policies {
 				if err := m.one(ctx, s, sc, p); err != nil {
-					return fmt.Errorf("%s, %s, %s: %w", s.Name(), sc.Name, p, err)
+					return errorx.Decorate(err, "%s, %s, %s", s.Name(), sc.Name, p)
 				}
 			}
 		}
--- a/internal/measure/plots/plots.go
+++ b/internal/measure/plots/plots.go
@@ -3,10 +3,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 
+	"github.com/joomcode/errorx"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
@@ -59,7 +59,7 @@
 	}
 	name := filepath.Join(d.to, site+"-"+scenario)
 	if err := gap.Save(width, height, name+"-gap.svg"); err != nil {
-		return fmt.Errorf("save plot: %w", err)
+		return errorx.Decorate(err, "save plot")
 	}
 	return busy.Save(width, height, name+"-utilisation.svg")
 }
@@ -81,7 +81,7 @@
 	}
 	line, err := plotter.NewLine(points)
 	if err != nil {
-		return fmt.Errorf("draw %s: %w", name, err)
+		return errorx.Decorate(err, "draw %s", name)
 	}
 	line.Color = plotutil.Color(i)
 	p.Add(line)
--- a/internal/order/taker.go
+++ b/internal/order/taker.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -43,7 +45,7 @@
 			return h, err
 		}
 		if !sleep(ctx, t.pause) {
-			return Held{}, fmt.Errorf("lease %s is undecided: %w", l.ID, ctx.Err())
+			return Held{}, errorx.Decorate(ctx.Err(), "lease %s is undecided", l.ID)
 		}
 	}
 }
@@ -91,7 +93,7 @@
 	for {
 		page, err := log.Read(ctx, Stream, c.Next(), 0)
 		if err != nil {
-			return out, fmt.Errorf("read stream of leases: %w", err)
+			return out, errorx.Decorate(err, "read stream of leases")
 		}
 		out = append(out, c.Page(page)...)
 		if c.Current() {
--- a/internal/peer/configuration.go
+++ b/internal/peer/configuration.go
@@ -3,9 +3,10 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"fmt"
 	"io"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/pkg/document"
 )
@@ -37,10 +38,10 @@
 	var buf bytes.Buffer
 	w := gzip.NewWriter(&buf)
 	if _, err := io.WriteString(w, s.Text); err != nil {
-		return Configuration{}, fmt.Errorf("compress configuration: %w", err)
+		return Configuration{}, errorx.Decorate(err, "compress configuration")
 	}
 	if err := w.Close(); err != nil {
-		return Configuration{}, fmt.Errorf("compress configuration: %w", err)
+		return Configuration{}, errorx.Decorate(err, "compress configuration")
 	}
 	c.Text = buf.Bytes()
 	return c, nil
@@ -51,11 +52,11 @@
 	s := configuration.State{Version: c.Version, ID: c.ID, Through: c.Through}
 	r, err := gzip.NewReader(bytes.NewReader(c.Text))
 	if err != nil {
-		return s, fmt.Errorf("decompress configuration: %w", err)
+		return s, errorx.Decorate(err, "decompress configuration")
 	}
 	text, err := io.ReadAll(io.LimitReader(r, document.MaxBytes+1))
 	if err != nil {
-		return s, fmt.Errorf("decompress configuration: %w", err)
+		return s, errorx.Decorate(err, "decompress configuration")
 	}
 	s.Text = string(text)
 	return s, nil
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/traffic"
 )
 
@@ -32,7 +34,7 @@
 func dial(ctx context.Context, address, path string, cfg *tls.Config, c *traffic.Counter) (*rpc.Client, error) {
 	conn, err := dialConn(ctx, address, cfg)
 	if err != nil {
-		return nil, fmt.Errorf("dial agent %s: %w", address, err)
+		return nil, errorx.Decorate(err, "dial agent %s", address)
 	}
 	conn = c.Wrap(conn)
 	if deadline, ok := ctx.Deadline(); ok {
@@ -40,7 +42,7 @@
 	}
 	if err := connect(conn, path); err != nil {
 		_ = conn.Close()
-		return nil, fmt.Errorf("open rpc to agent %s: %w", address, err)
+		return nil, errorx.Decorate(err, "open rpc to agent %s", address)
 	}
 	_ = conn.SetDeadline(time.Time{})
 	return rpc.NewClient(conn), nil
--- a/internal/platform/vms.go
+++ b/internal/platform/vms.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 )
@@ -63,11 +65,11 @@
 func (v *VMs) take(resp *http.Response) ([]laburnumring.VM, error) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
-		return nil, fmt.Errorf("read VM list: %w", err)
+		return nil, errorx.Decorate(err, "read VM list")
 	}
 	var list []laburnumring.VM
 	if err := json.Unmarshal(data, &list); err != nil {
-		return nil, fmt.Errorf("read VM list: %w", err)
+		return nil, errorx.Decorate(err, "read VM list")
 	}
 	v.list = list
 	v.tag = resp.Header.Get("ETag")
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring/internal/admission"
 	"github.com/laburnumring/laburnumring/internal/answer"
@@ -187,7 +188,7 @@
 func (r *Router) post(ctx context.Context, address, path string, message any) (io.ReadCloser, error) {
 	data, err := cbor.Marshal(message)
 	if err != nil {
-		return nil, fmt.Errorf("encode message to agent %s: %w", address, err)
+		return nil, errorx.Decorate(err, "encode message to agent %s", address)
 	}
 	scheme := "http"
 	if r.o.TLS != nil {
@@ -195,7 +196,7 @@
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+"://"+address+path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("agent %s: %w", address, err)
+		return nil, errorx.Decorate(err, "agent %s", address)
 	}
 	req.Body = io.NopCloser(bytes.NewReader(data))
 	req.ContentLength = int64(len(data))
--- a/internal/router/reply.go
+++ b/internal/router/reply.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strconv"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/answer"
 	"github.com/laburnumring/laburnumring/internal/dispatch"
 	"github.com/laburnumring/laburnumring/internal/event"
@@ -45,7 +46,7 @@
 		return err
 	}
 	if _, err := c.w.Write(fresh); err != nil {
-		return fmt.Errorf("write to caller: %w", err)
+		return errorx.Decorate(err, "write to caller")
 	}
 	return http.NewResponseController(c.w).Flush()
 }
--- a/internal/settings/checker.go
+++ b/internal/settings/checker.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/document"
 	"github.com/laburnumring/laburnumring/pkg/service"
@@ -31,7 +33,7 @@
 func read(file string, v any) (*checker, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("read settings: %w", err)
+		return nil, errorx.Decorate(err, "read settings")
 	}
 	doc, err := document.Parse(file, data, v)
 	if err != nil {
--- a/internal/slopes/sample.go
+++ b/internal/slopes/sample.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
@@ -106,7 +106,7 @@
 	p := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := p.TextToMetricFamilies(body)
 	if err != nil {
-		return nil, fmt.Errorf("read metrics of %s: %w", url, err)
+		return nil, errorx.Decorate(err, "read metrics of %s", url)
 	}
 	return families, nil
 }
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/laburnumring/laburnumring/internal/fleet"
 	"github.com/laburnumring/laburnumring/pkg/server"
 	"github.com/laburnumring/laburnumring/pkg/site"
@@ -59,7 +61,7 @@
 			continue
 		}
 		if err := measureAxis(ctx, o, a, emit); err != nil {
-			return fmt.Errorf("axis %s: %w", a.name, err)
+			return errorx.Decorate(err, "axis %s", a.name)
 		}
 	}
 	return nil
--- a/internal/standin/commands/commands.go
+++ b/internal/standin/commands/commands.go
@@ -15,6 +15,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/standin/control"
@@ -143,7 +144,7 @@
 	for _, address := range routers {
 		for !isReady(ctx, address) {
 			if ctx.Err() != nil {
-				return fmt.Errorf("router %s is not ready: %w", address, ctx.Err())
+				return errorx.Decorate(ctx.Err(), "router %s is not ready", address)
 			}
 			time.Sleep(readyPause)
 		}
--- a/pkg/site/yaml.go
+++ b/pkg/site/yaml.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"fmt"
 
+	"github.com/joomcode/errorx"
 	"go.yaml.in/yaml/v3"
 
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -68,10 +68,10 @@
 	enc := yaml.NewEncoder(&buf)
 	enc.SetIndent(2)
 	if err := enc.Encode(s.toYAML()); err != nil {
-		return nil, fmt.Errorf("print site %s: %w", s.name, err)
+		return nil, errorx.Decorate(err, "print site %s", s.name)
 	}
 	if err := enc.Close(); err != nil {
-		return nil, fmt.Errorf("print site %s: %w", s.name, err)
+		return nil, errorx.Decorate(err, "print site %s", s.name)
 	}
 	return buf.Bytes(), nil
 }
