configuration: Begin to read near the end of the stream

Cause: a process without a state, and each config publish and config show, read the stream from its oldest record.

Conclusion: the cost of a start no longer grows with the log's retention.

--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -22,6 +22,9 @@
 	// SnapshotSpread is the time over which readers spread their snapshots when the log has lost the last; it
 	// grows with the site when zero.
 	SnapshotSpread clock.Millis
+	// StartWindow is how many records a reader without a state looks at first, from the end of the stream; 64
+	// when zero.
+	StartWindow int64
 	// Random returns numbers in [0, 1).
 	Random func() float64
 }
@@ -33,6 +36,10 @@
 	maxSnapshotSpread       = 20 * clock.Second
 	// spreadPerServer is the part of the spread for each backend server of the site.
 	spreadPerServer = 20 * clock.Millis(1)
+
+	defaultStartWindow = 64
+	// startWindowGrowth is by how much the window grows when it holds no snapshot.
+	startWindowGrowth = 4
 )
 
 // Verdict is what became of a record.
@@ -74,6 +81,10 @@
 	end int64
 	// read says that a batch was taken.
 	read bool
+	// window is how many records from the end of the stream were looked at; 0 for a reader that began at 0.
+	window int64
+	// start is where that look began.
+	start int64
 	// snapshots schedules this reader's snapshots.
 	snapshots schedule
 }
@@ -83,6 +94,9 @@
 	if o.SnapshotInterval == 0 {
 		o.SnapshotInterval = defaultSnapshotInterval
 	}
+	if o.StartWindow == 0 {
+		o.StartWindow = defaultStartWindow
+	}
 	return &Controller{o: o, following: true, snapshots: schedule{o: o, carrier: -1}}
 }
 
@@ -101,6 +115,33 @@
 // CaughtUp reports whether the stream was read to its end.
 func (c *Controller) CaughtUp() bool { return c.read && c.next >= c.end }
 
+// Begin lets a reader that knows nothing start near the end of a stream that holds the records from first to
+// before next. The snapshots there tell the state; the reader goes back as far as it must to find one.
+func (c *Controller) Begin(first, next int64) {
+	if c.read || c.state.Through > 0 {
+		return
+	}
+	c.first = first
+	c.end = next
+	c.window = c.o.StartWindow
+	c.goBack()
+}
+
+// goBack begins to read a window from the end of the stream.
+func (c *Controller) goBack() {
+	c.start = max(c.first, c.end-c.window)
+	c.next = c.start
+	c.following = c.next == c.state.Through
+}
+
+// widen goes further back when the window that was read did not tell the state.
+func (c *Controller) widen() {
+	for !c.following && c.window > 0 && c.next >= c.end && c.start > c.first {
+		c.window *= startWindowGrowth
+		c.goBack()
+	}
+}
+
 // Take applies a batch that was read from an offset that Next returned, and returns what was decided.
 func (c *Controller) Take(now clock.Millis, b Batch) []Decision {
 	c.first = max(c.first, b.first)
@@ -122,6 +163,7 @@
 		out = append(out, c.take(now, e)...)
 	}
 	c.snapshots.observe(now, c.first)
+	c.widen()
 	return out
 }
 
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/site"
@@ -11,6 +12,9 @@
 // Stream is the log stream that holds configuration records.
 const Stream = "configuration"
 
+// End is an offset that no record reaches. A read from there tells only the bounds of the stream.
+const End = math.MaxInt64
+
 // Type says how a record acts.
 type Type string
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -50,6 +50,8 @@
 // Follower reads the configuration stream into a controller.
 type Follower struct {
 	o Options
+	// begun is set once the reader knows where to begin.
+	begun bool
 	// unreachable is set after a failed read.
 	unreachable bool
 	// lost is set while the log does not tell the state.
@@ -103,6 +105,9 @@
 
 // read reads one page and takes it.
 func (f *Follower) read(ctx context.Context) error {
+	if err := f.begin(ctx); err != nil {
+		return err
+	}
 	f.o.Mu.Lock()
 	from := f.o.Config.Next()
 	f.o.Mu.Unlock()
@@ -117,6 +122,22 @@
 	return nil
 }
 
+// begin finds out, once, where the stream ends, so as not to read all of it.
+func (f *Follower) begin(ctx context.Context) error {
+	if f.begun {
+		return nil
+	}
+	page, err := f.o.Log.Read(ctx, configuration.Stream, configuration.End, 0)
+	if err != nil {
+		return err
+	}
+	f.begun = true
+	f.o.Mu.Lock()
+	defer f.o.Mu.Unlock()
+	f.o.Config.Begin(page.First, page.Next)
+	return nil
+}
+
 func (f *Follower) take(b configuration.Batch) {
 	f.o.Mu.Lock()
 	defer f.o.Mu.Unlock()
--- a/internal/publication/fake_test.go
+++ b/internal/publication/fake_test.go
@@ -8,7 +8,10 @@
 	"github.com/laburnumring/laburnumring/internal/configuration"
 )
 
-const pageSize = 3
+const (
+	pageSize    = 3
+	startWindow = 2
+)
 
 // fakeLog is a stream that drops old records and remembers what its records amount to.
 type fakeLog struct {
@@ -59,5 +62,5 @@
 func text(id string) string { return "site: " + id + "\n" }
 
 func newReader(random func() float64) *configuration.Controller {
-	return configuration.New(configuration.Options{Board: board.New(), Random: random})
+	return configuration.New(configuration.Options{Board: board.New(), StartWindow: startWindow, Random: random})
 }
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -20,12 +20,16 @@
 	Text string
 	// Restore is the version to put in force on a log that has lost its state; 0 for a change.
 	Restore int64
+	// StartWindow is that of the publication's reader.
+	StartWindow int64
 }
 
 // Publication decides on the appends of one change and on its outcome. It is used by one goroutine at a time.
 type Publication struct {
 	o Options
 	c *configuration.Controller
+	// begun says that Begin was called.
+	begun bool
 	// appended says that the record was handed to the log at least once, so that it may be accepted.
 	appended bool
 	// done says that the outcome is decided; it never changes afterwards.
@@ -39,14 +43,21 @@
 // New returns a publication that has read nothing.
 func New(o Options) *Publication {
 	return &Publication{o: o, c: configuration.New(configuration.Options{
-		Board:  board.New(),
-		Random: func() float64 { return 0 },
+		Board:       board.New(),
+		StartWindow: o.StartWindow,
+		Random:      func() float64 { return 0 },
 	})}
 }
 
 // Next returns the offset to read from.
 func (p *Publication) Next() int64 { return p.c.Next() }
 
+// Begin lets the publication start near the end of a stream with the given bounds.
+func (p *Publication) Begin(first, next int64) {
+	p.begun = true
+	p.c.Begin(first, next)
+}
+
 // CaughtUp reports whether the stream was read to its end.
 func (p *Publication) CaughtUp() bool { return p.c.CaughtUp() }
 
--- a/internal/publication/publisher.go
+++ b/internal/publication/publisher.go
@@ -75,6 +75,13 @@
 
 // read reads the stream to its end.
 func (p *Publisher) read(ctx context.Context, pub *Publication) error {
+	if !pub.begun {
+		page, err := p.log.Read(ctx, configuration.Stream, configuration.End, 0)
+		if err != nil {
+			return err
+		}
+		pub.Begin(page.First, page.Next)
+	}
 	for {
 		page, err := p.log.Read(ctx, configuration.Stream, pub.Next(), 0)
 		if err != nil {
--- a/internal/publication/random_test.go
+++ b/internal/publication/random_test.go
@@ -103,6 +103,9 @@
 func (w *world) restart(i int) {
 	w.readers[i] = newReader(w.random)
 	w.highest[i] = 0
+	if !w.outage && rapid.Bool().Draw(w.t, "near_the_end") {
+		w.readers[i].Begin(w.log.first, w.log.next())
+	}
 }
 
 func (w *world) handOver(i, j int) {
@@ -127,7 +130,11 @@
 		o.Text = invalidText
 	}
 	w.ids = append(w.ids, id)
+	o.StartWindow = startWindow
 	w.publications[id] = publication.New(o)
+	if rapid.Bool().Draw(t, "near_the_end") {
+		w.publications[id].Begin(w.log.first, w.log.next())
+	}
 }
 
 // step lets one publication read a page and perhaps append.
--- a/internal/standin/platformlog/platformlog.go
+++ b/internal/standin/platformlog/platformlog.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	defaultAppendsPerSecond = 400
 	maxRecord               = 8 << 20
 	maxPage                 = 1000
+	maxPageBytes            = 4 << 20
 )
 
 // Stats counts calls.
@@ -157,11 +159,23 @@
 	page := laburnumring.Page{First: s.first, Next: s.next()}
 	start := max(0, from-s.first)
 	if start < int64(len(s.records)) {
-		page.Records = append(page.Records, s.records[start:min(start+maxPage, int64(len(s.records)))]...)
+		page.Records = bounded(s.records[start:min(start+maxPage, int64(len(s.records)))])
 	}
 	return page, s.changed
 }
 
+// bounded returns a copy of the first records that together take at most maxPageBytes, at least one.
+func bounded(records []laburnumring.Record) []laburnumring.Record {
+	size := 0
+	for i, r := range records {
+		size += len(r.Data)
+		if i > 0 && size > maxPageBytes {
+			return slices.Clone(records[:i])
+		}
+	}
+	return slices.Clone(records)
+}
+
 func (l *Log) expire(s *stream) {
 	if l.o.Retention == 0 {
 		return
