suspect: Let a confirmation go before later suspicion

Cause: a death beside others, noted by a process that had not heard of a confirmation, had the higher version and turned the confirmation back into a suspicion; the request could then take further servers down. A suspected request also waited 4 s after each other one, however short that had been.

Change: a confirmation in force goes before all else. The others' turn is four times as long as the suspect's was, instead of 4 s.

--- a/internal/admission/lone.go
+++ b/internal/admission/lone.go
@@ -5,10 +5,12 @@
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
-// Bounds of the time in which free slots are not filled, so that the server empties for a suspected request.
+// Bounds of the turns of suspected requests.
 const (
-	reserveLife  = 1 * clock.Second
-	reservePause = 4 * clock.Second
+	// reserveLife is how long free slots are not filled, so that the server empties for a suspected request.
+	reserveLife = 1 * clock.Second
+	// othersShare is how many times as long as a suspected request's turn that of the others is.
+	othersShare = 4
 )
 
 // loneTurn is the state of the turns between suspected requests, which run alone, and all others.
@@ -17,6 +19,8 @@
 	running *offer
 	// reservedUntil is when the others' turn comes at the latest; 0 when nothing is reserved.
 	reservedUntil clock.Millis
+	// began is when the present or last turn of a suspected request began.
+	began clock.Millis
 	// notBefore is when slots may be reserved again.
 	notBefore clock.Millis
 }
@@ -58,6 +62,9 @@
 		c.lone.reservedUntil = 0
 		return c.next(now), false
 	}
+	if c.lone.reservedUntil == 0 {
+		c.lone.began = now
+	}
 	if now < c.lone.notBefore {
 		return c.others(now, w)
 	}
@@ -87,7 +94,7 @@
 
 func (c *Controller) passTurn(now clock.Millis) {
 	c.lone.reservedUntil = 0
-	c.lone.notBefore = now + reservePause
+	c.lone.notBefore = now + othersShare*(now-c.lone.began)
 }
 
 // oldestSuspect returns the oldest ticket of a suspected request, or nil.
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -27,7 +27,8 @@
 	// Fingerprint identifies a request's content.
 	Fingerprint uint64 `cbor:"fingerprint"`
 	Kind        Kind   `cbor:"kind"`
-	// Version grows with each change of the fingerprint's entry; the higher one is in force.
+	// Version grows with each change of the fingerprint's entry; the higher one is in force, but a confirmation
+	// goes before all else.
 	Version int64 `cbor:"version"`
 	// Remaining is how long the entry stays in force from its receipt. Clocks of two VMs are not compared.
 	Remaining clock.Millis `cbor:"remaining_ms"`
@@ -119,13 +120,22 @@
 		return false
 	}
 	r := l.records[e.Fingerprint]
-	if cmp.Or(cmp.Compare(e.Version, r.version), cmp.Compare(e.Kind, r.kind)) <= 0 && now < r.until {
+	if now < r.until && !e.replaces(r) {
 		return false
 	}
 	l.store(now, e.Fingerprint, record{kind: e.Kind, version: e.Version, until: now + min(e.Remaining, l.o.Life)})
 	return true
 }
 
+// replaces reports whether the entry goes before a record in force: a confirmation before all else, then the
+// higher version.
+func (e Entry) replaces(r record) bool {
+	if (e.Kind == Confirmed) != (r.kind == Confirmed) {
+		return e.Kind == Confirmed
+	}
+	return cmp.Or(cmp.Compare(e.Version, r.version), cmp.Compare(e.Kind, r.kind)) > 0
+}
+
 // Kind returns what is held against a fingerprint; 0 when nothing is known.
 func (l *List) Kind(now clock.Millis, fingerprint uint64) Kind {
 	if l == nil {
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -37,6 +37,22 @@
 	}
 }
 
+// TestConfirmedStays merges a later death beside others, noted by a process that had not heard of the
+// confirmation, in both orders.
+func TestConfirmedStays(t *testing.T) {
+	confirmed := suspect.New(suspect.Options{}).Died(1000, fingerprint, true)
+	later := suspect.New(suspect.Options{}).Died(2000, fingerprint, false)
+	for _, order := range [][]suspect.Entry{{confirmed, later}, {later, confirmed}} {
+		l := suspect.New(suspect.Options{})
+		for _, e := range order {
+			l.Merge(3000, e)
+		}
+		if got := l.Kind(3000, fingerprint); got != suspect.Confirmed {
+			t.Errorf("kind %d after %+v", got, order)
+		}
+	}
+}
+
 // TestListsAgree spreads entries in any order, doubled and without loss: all lists hold the same in the end,
 // and nothing is news twice.
 func TestListsAgree(t *testing.T) {
