dispatch, admission: Divide the controllers' files by subject

Change: ends of requests, tickets and starts have files of their own; package incarnation names runs. No behaviour is changed.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -69,16 +69,6 @@
 	defaultTicketLimit = 1024
 )
 
-// waiting is one ticket in a team's queue.
-type waiting struct {
-	ref ticket.Ref
-	t   ticket.Ticket
-	// since is when the request arrived at its router, by this clock.
-	since clock.Millis
-	// deadline is when the ticket is worthless, by this clock.
-	deadline clock.Millis
-}
-
 // offer is one slot held for one request, or the memory of it.
 type offer struct {
 	message ticket.Offer
@@ -151,73 +141,6 @@
 	}
 }
 
-// Leave adds a router's ticket, or renews it. A ticket whose offer is out already is not needed. It reports
-// false when the team's queue is full, the request is poison or the agent is draining.
-func (c *Controller) Leave(now clock.Millis, router string, t ticket.Ticket) bool {
-	ref := ticket.Ref{Router: router, Request: t.Request}
-	if c.hasLive(ref, t.Attempt) {
-		return true
-	}
-	c.noteFlag(now, t.Fingerprint, t.Suspect)
-	if w, ok := c.byRef[ref]; ok {
-		w.t = t
-		return true
-	}
-	if c.o.Suspects.Kind(now, t.Fingerprint) == suspect.Confirmed {
-		return false
-	}
-	w := &waiting{ref: ref, t: t, since: now - t.Age, deadline: now + t.Remaining}
-	if c.draining || !c.makeRoom(w) {
-		return false
-	}
-	c.byRef[ref] = w
-	c.queues[t.Team] = insert(c.queues[t.Team], w)
-	return true
-}
-
-// makeRoom reports whether w's team may have another ticket. An older request takes the place of the youngest.
-func (c *Controller) makeRoom(w *waiting) bool {
-	q := c.queues[w.t.Team]
-	if len(q) < c.o.TicketLimit {
-		return true
-	}
-	youngest := q[len(q)-1]
-	if youngest.since <= w.since {
-		return false
-	}
-	c.remove(youngest)
-	c.evicted = append(c.evicted, youngest.ref)
-	return true
-}
-
-// Evicted returns, once, the requests whose tickets gave way to older ones.
-func (c *Controller) Evicted() []ticket.Ref {
-	out := c.evicted
-	c.evicted = nil
-	return out
-}
-
-// insert keeps q sorted by age, oldest first.
-func insert(q []*waiting, w *waiting) []*waiting {
-	i := len(q)
-	for i > 0 && q[i-1].since > w.since {
-		i--
-	}
-	return slices.Insert(q, i, w)
-}
-
-// Withdraw takes a router's ticket back, and an offer for the request that the router has not accepted.
-func (c *Controller) Withdraw(now clock.Millis, ref ticket.Ref) {
-	if w, ok := c.byRef[ref]; ok {
-		c.remove(w)
-	}
-	for _, o := range slices.Clone(c.live[ref]) {
-		if o.state == Offered {
-			c.release(now, o, Withdrawn)
-		}
-	}
-}
-
 func (c *Controller) hasLive(ref ticket.Ref, attempt int) bool {
 	return slices.ContainsFunc(c.live[ref], func(o *offer) bool { return o.message.Attempt == attempt })
 }
@@ -262,72 +185,6 @@
 	return out
 }
 
-// Accept records that the router sent the request of an offer. Its errors are of type *RefusedError.
-func (c *Controller) Accept(now clock.Millis, s ticket.Start) error {
-	o, ok := c.offers[s.Offer]
-	if !ok {
-		return &RefusedError{Offer: s.Offer, Reason: "offer_unknown"}
-	}
-	if o.message.Request != s.Request || o.message.Attempt != s.Attempt || o.message.Router != s.Router {
-		return &RefusedError{Offer: s.Offer, State: o.state, Reason: "offer_of_another_request"}
-	}
-	if o.state != Offered {
-		return &RefusedError{Offer: s.Offer, State: o.state, Reason: "offer_used"}
-	}
-	if now-o.changed >= c.o.OfferLife {
-		c.release(now, o, Withdrawn)
-		return &RefusedError{Offer: s.Offer, State: Withdrawn, Reason: "offer_expired"}
-	}
-	o.deadline = min(o.deadline, now+s.Remaining)
-	c.move(now, o, Accepted)
-	return nil
-}
-
-// Start lets an accepted request start, once. After an error it has not started and never will under this
-// offer. Its errors are of type *RefusedError.
-func (c *Controller) Start(now clock.Millis, id string) error {
-	o, ok := c.offers[id]
-	if !ok {
-		return &RefusedError{Offer: id, Reason: "offer_unknown"}
-	}
-	if o.state != Accepted {
-		return &RefusedError{Offer: id, State: o.state, Reason: "offer_used"}
-	}
-	if now >= o.deadline {
-		c.release(now, o, Withdrawn)
-		return &RefusedError{Offer: id, State: Withdrawn, Reason: "deadline"}
-	}
-	if err := c.checkStart(now, o); err != nil {
-		return err
-	}
-	c.o.Invariants.Checkf(c.lone.running == nil || c.lone.running == o && c.inUse == 1, "suspect_alone",
-		"offer %s starts beside a suspected request", id)
-	c.move(now, o, Started)
-	return nil
-}
-
-// Charge adds units of service to the team of a started offer while it runs.
-func (c *Controller) Charge(id string, total int64) {
-	o, ok := c.offers[id]
-	if !ok || total <= o.charged {
-		return
-	}
-	c.settle(o, total)
-}
-
-// End frees the slot of a started offer and settles its charge at total units.
-func (c *Controller) End(now clock.Millis, id string, total int64) {
-	o, ok := c.offers[id]
-	if !ok || o.state != Started {
-		return
-	}
-	if total > o.charged {
-		c.settle(o, total)
-	}
-	c.learn(o.t, total)
-	c.release(now, o, Ended)
-}
-
 // Tick drops what has expired.
 func (c *Controller) Tick(now clock.Millis) {
 	for _, w := range c.byRef {
@@ -431,44 +288,3 @@
 	c.o.Order.Expect(o.t.Team, o.expected)
 	return o.message
 }
-
-func (c *Controller) remove(w *waiting) {
-	delete(c.byRef, w.ref)
-	q := c.queues[w.t.Team]
-	q = slices.DeleteFunc(q, func(v *waiting) bool { return v == w })
-	if len(q) == 0 {
-		delete(c.queues, w.t.Team)
-		return
-	}
-	c.queues[w.t.Team] = q
-}
-
-func (c *Controller) move(now clock.Millis, o *offer, s State) {
-	c.o.Invariants.Checkf(s > o.state, "offer_moves_forward",
-		"offer %s moved from %v to %v", o.message.ID, o.state, s)
-	o.state = s
-	o.changed = now
-}
-
-// release frees the offer's slot. Nothing more is expected of it.
-func (c *Controller) release(now clock.Millis, o *offer, s State) {
-	c.move(now, o, s)
-	c.inUse--
-	c.forgetLive(o)
-	if c.lone.running == o {
-		c.lone.running = nil
-		c.passTurn(now)
-	}
-	c.o.Order.Expect(o.t.Team, -o.expected)
-	o.expected = 0
-}
-
-func (c *Controller) forgetLive(o *offer) {
-	ref := ticket.Ref{Router: o.message.Router, Request: o.message.Request}
-	l := slices.DeleteFunc(c.live[ref], func(v *offer) bool { return v == o })
-	if len(l) == 0 {
-		delete(c.live, ref)
-		return
-	}
-	c.live[ref] = l
-}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/publication"
 	"github.com/laburnumring/laburnumring/internal/router"
@@ -91,7 +92,7 @@
 			Service: "booking-app", Place: "place-a", Address: b.servers[i], Agent: b.agents[i].address, Slots: 4,
 		}),
 		Kind:        service.Plain,
-		Incarnation: router.NewIncarnation(),
+		Incarnation: incarnation.New(),
 		Clock:       wallclock.New(),
 		Log:         platform.NewLog(b.logAt, &traffic.Counter{}),
 		Backend:     backend.NewPlain(b.servers[i]),
@@ -107,7 +108,7 @@
 func (b *bench) startRouter(i int) {
 	r := router.New(router.Options{
 		Name:        fmt.Sprintf("router-%d", i),
-		Incarnation: router.NewIncarnation(),
+		Incarnation: incarnation.New(),
 		Clock:       wallclock.New(),
 		Log:         platform.NewLog(b.logAt, &traffic.Counter{}),
 		VMs:         noVMs{},
--- a/internal/agent/order_test.go
+++ b/internal/agent/order_test.go
@@ -15,10 +15,10 @@
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/order"
 	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/platform"
-	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/standin/control"
 	"github.com/laburnumring/laburnumring/internal/standin/engine"
 	"github.com/laburnumring/laburnumring/internal/standin/platformlog"
@@ -69,7 +69,7 @@
 	a, err := agent.New(agent.Options{
 		Server:      server.New("model-1", server.Options{Service: "model-pool", Address: b.engineAt, Agent: address}),
 		Kind:        service.Model,
-		Incarnation: router.NewIncarnation(),
+		Incarnation: incarnation.New(),
 		Clock:       wallclock.New(),
 		Log:         platform.NewLog(b.logAt, &traffic.Counter{}),
 		Backend:     backend.NewModel(b.engineAt),
--- a/internal/commands/agent.go
+++ b/internal/commands/agent.go
@@ -10,9 +10,9 @@
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/platform"
-	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/settings"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
@@ -43,7 +43,7 @@
 			TokenTarget:   s.TokenTargetMs,
 			SharePeriod:   s.Share.PeriodMs.Duration(),
 			ShareLead:     s.Share.LeadUnits,
-			Incarnation:   router.NewIncarnation(),
+			Incarnation:   incarnation.New(),
 			Clock:         wallclock.New(),
 			Log:           platform.NewLog(s.Log, bytes),
 			Backend:       newBackend(s),
--- a/internal/commands/router.go
+++ b/internal/commands/router.go
@@ -10,6 +10,7 @@
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/platform"
 	"github.com/laburnumring/laburnumring/internal/router"
@@ -41,7 +42,7 @@
 			Place:         s.Place,
 			SubsetDegree:  s.SubsetDegree,
 			Policy:        s.Policy,
-			Incarnation:   router.NewIncarnation(),
+			Incarnation:   incarnation.New(),
 			Clock:         wallclock.New(),
 			Log:           platform.NewLog(s.Log, bytes),
 			VMs:           platform.NewVMs(s.VMs, bytes),
--- a/internal/router/configuration_test.go
+++ b/internal/router/configuration_test.go
@@ -12,6 +12,7 @@
 	"github.com/laburnumring/laburnumring/internal/agent"
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
@@ -51,7 +52,7 @@
 
 	agentEvents := &events{}
 	a, err := agent.New(agent.Options{
-		Server: st.Servers()[0], Kind: service.Model, Incarnation: router.NewIncarnation(), Clock: wallclock.New(),
+		Server: st.Servers()[0], Kind: service.Model, Incarnation: incarnation.New(), Clock: wallclock.New(),
 		Log: downLog{}, Backend: newGate(), Logger: event.NewLogger(agentEvents, "logfmt", "agent"),
 		LogTraffic: &traffic.Counter{},
 	})
@@ -76,7 +77,7 @@
 func startPeer(t *testing.T, name string, log laburnumring.Log, seeds ...string) (*process, string) {
 	e := &events{}
 	r := router.New(router.Options{
-		Name: name, Place: "here", Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: log, VMs: noVMs{},
+		Name: name, Place: "here", Incarnation: incarnation.New(), Clock: wallclock.New(), Log: log, VMs: noVMs{},
 		LogTraffic: &traffic.Counter{}, Logger: event.NewLogger(e, "logfmt", "router"), CallerAuth: caller.Header,
 		Rand: rand.New(rand.NewPCG(1, 1)), Seeds: seeds,
 	})
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/standin/control"
 	"github.com/laburnumring/laburnumring/internal/standin/cutproxy"
@@ -171,7 +172,7 @@
 func (f *fleet) startAgent(t *testing.T, h *handlerSwitch, v server.Server, log laburnumring.Log, w io.Writer) {
 	t.Helper()
 	a, err := agent.New(agent.Options{
-		Server: v, Kind: service.Model, Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: log,
+		Server: v, Kind: service.Model, Incarnation: incarnation.New(), Clock: wallclock.New(), Log: log,
 		Backend: backend.NewModel(v.Address()), Logger: event.NewLogger(w, "text", "agent"),
 		LogTraffic: &traffic.Counter{}, ShutdownLimit: time.Second,
 	})
@@ -185,7 +186,7 @@
 func (f *fleet) startRouter(t *testing.T, i int, log laburnumring.Log, w io.Writer) {
 	t.Helper()
 	r := router.New(router.Options{
-		Name: fmt.Sprintf("router-%d", i), Place: "here", Incarnation: router.NewIncarnation(),
+		Name: fmt.Sprintf("router-%d", i), Place: "here", Incarnation: incarnation.New(),
 		Clock: wallclock.New(), Log: log, VMs: noVMs{}, LogTraffic: &traffic.Counter{},
 		Logger: event.NewLogger(w, "text", "router"), ShutdownLimit: time.Second,
 		Rand: rand.New(rand.NewPCG(uint64(i), 1)), CallerAuth: caller.Header,
--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -279,10 +277,3 @@
 		Outcome: outcome.NotRun, Reason: e.Reason, Detail: e.Detail, RetryAfterMs: after,
 	})
 }
-
-// NewIncarnation returns a name that no other run of any process has.
-func NewIncarnation() string {
-	p := make([]byte, 8)
-	_, _ = rand.Read(p)
-	return hex.EncodeToString(p)
-}
--- a/internal/router/leaving_test.go
+++ b/internal/router/leaving_test.go
@@ -20,6 +20,7 @@
 	"github.com/laburnumring/laburnumring/internal/caller"
 	"github.com/laburnumring/laburnumring/internal/configuration"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
 	"github.com/laburnumring/laburnumring/internal/router"
 	"github.com/laburnumring/laburnumring/internal/traffic"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
@@ -238,7 +239,7 @@
 	e := &events{}
 	b := newGate()
 	a, err := agent.New(agent.Options{
-		Server: v, Kind: service.Model, Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: g.log,
+		Server: v, Kind: service.Model, Incarnation: incarnation.New(), Clock: wallclock.New(), Log: g.log,
 		Backend: b, Logger: event.NewLogger(e, "logfmt", "agent"), LogTraffic: &traffic.Counter{},
 		ShutdownLimit: shutdownLimit,
 	})
@@ -253,7 +254,7 @@
 func (g *gated) addRouter(t *testing.T) {
 	e := &events{}
 	r := router.New(router.Options{
-		Name: "router", Place: "here", Incarnation: router.NewIncarnation(), Clock: wallclock.New(), Log: g.log,
+		Name: "router", Place: "here", Incarnation: incarnation.New(), Clock: wallclock.New(), Log: g.log,
 		VMs: g.vms, LogTraffic: &traffic.Counter{}, Logger: event.NewLogger(e, "logfmt", "router"),
 		ShutdownLimit: shutdownLimit, Rand: rand.New(rand.NewPCG(1, 1)), CallerAuth: caller.Header,
 	})
