peer: Send numbers in place of ids inside a session

Cause: each ticket, withdrawal, offer and refusal repeated the router's name and incarnation or the agent's incarnation, and each call named the router.

Ruled out: a session number in each call. The agent knows a connection's session since, so nothing is sent, and a number cannot outlive the connection. Ids as shortened strings: they could be taken for full ones.

Change: peer.Session turns the ids of the two ends into numbers from 1 and back, at the edge (link.go, calls.go); controllers, logs, the data path and WithdrawOffer, which has no session, keep full ids. An id of another process or incarnation, or one that is not written as ids are, has no number; number 0 has no id; either ends the exchange before anything of the batch happens. Calls on a connection whose session was replaced are refused; before, they acted on the router's new session. A decline of an offer that was made to another router is refused; before, it was carried out.

TestHungUpFreesSlots builds its ticket in the new form; what it checks is unchanged.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -160,6 +160,14 @@
 	return o.state
 }
 
+// RouterOf returns the router to which an offer was made; empty when the offer is not known here.
+func (c *Controller) RouterOf(id string) string {
+	if o, ok := c.offers[id]; ok {
+		return o.message.Router
+	}
+	return ""
+}
+
 // DropRouter forgets the tickets and the unanswered offers of a router that went away.
 func (c *Controller) DropRouter(now clock.Millis, router string) {
 	for ref, w := range c.byRef {
--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -1,12 +1,16 @@
 package agent
 
 import (
-	"fmt"
+	"errors"
 	"time"
 
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
+// errNoSession answers a call on a connection that has no session, or none any more.
+var errNoSession = errors.New("the connection has no session")
+
 // calls is the agent's net/rpc service on one connection.
 type calls struct {
 	a *Agent
@@ -14,6 +18,14 @@
 	session *session
 }
 
+// standing returns the connection's session as long as it stands; callers hold the agent's mu.
+func (c *calls) standing() (*session, error) {
+	if c.session == nil || c.a.sessions[c.session.router] != c.session {
+		return nil, errNoSession
+	}
+	return c.session, nil
+}
+
 // Hello opens a router's session.
 func (c *calls) Hello(args peer.HelloArgs, reply *peer.HelloReply) error {
 	a := c.a
@@ -23,7 +35,7 @@
 	if _, ok := a.sessions[args.Router]; ok {
 		a.admission.DropRouter(now, args.Router)
 	}
-	s := newSession(args.Router, now)
+	s := newSession(args.Router, a.o.Incarnation, now)
 	for _, e := range a.suspects.Entries(now) {
 		s.suspects = append(s.suspects, e.Fingerprint)
 	}
@@ -41,28 +53,53 @@
 	now := a.o.Clock.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s, ok := a.sessions[args.Router]
-	if !ok {
-		return fmt.Errorf("router %s has no session", args.Router)
+	s, err := c.standing()
+	if err != nil {
+		return err
+	}
+	batch, err := s.ids.Unpack(args)
+	if err != nil {
+		return err
+	}
+	if err := a.checkOwned(s, batch.Decline); err != nil {
+		return err
 	}
 	s.seen = now
-	a.learn(now, args.Router, args.Suspects)
-	for _, id := range args.Decline {
+	refused := a.apply(now, s, batch)
+	a.tellEvicted()
+	a.fill(now)
+	a.wakeIdle()
+	reply.Refused, err = s.ids.PackRequests(refused)
+	return err
+}
+
+// checkOwned returns a *peer.ForeignIDError when one of the offers was made to another router; callers hold mu.
+func (a *Agent) checkOwned(s *session, offers []string) error {
+	for _, id := range offers {
+		if router := a.admission.RouterOf(id); router != "" && router != s.router {
+			return &peer.ForeignIDError{ID: id, Owner: s.router}
+		}
+	}
+	return nil
+}
+
+// apply carries out a batch and returns the requests whose tickets are refused; callers hold mu.
+func (a *Agent) apply(now clock.Millis, s *session, batch peer.Batch) []string {
+	a.learn(now, s.router, batch.Suspects)
+	for _, id := range batch.Decline {
 		a.admission.WithdrawOffer(now, id)
 	}
-	for _, id := range args.Withdraw {
-		a.admission.Withdraw(now, refOf(args.Router, id))
+	for _, id := range batch.Withdraw {
+		a.admission.Withdraw(now, refOf(s.router, id))
 	}
-	for _, t := range args.Leave {
-		if !a.admission.Leave(now, args.Router, t) {
-			reply.Refused = append(reply.Refused, t.Request)
+	var refused []string
+	for _, t := range batch.Leave {
+		if !a.admission.Leave(now, s.router, t) {
+			refused = append(refused, t.Request)
 			a.remind(now, s, t.Fingerprint)
 		}
 	}
-	a.tellEvicted()
-	a.fill(now)
-	a.wakeIdle()
-	return nil
+	return refused
 }
 
 // tellEvicted lets routers know of tickets that gave way to older ones; callers hold mu.
@@ -76,13 +113,13 @@
 }
 
 // Offers waits for offers to the router.
-func (c *calls) Offers(args peer.OffersArgs, reply *peer.OffersReply) error {
+func (c *calls) Offers(_ peer.OffersArgs, reply *peer.OffersReply) error {
 	a := c.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	s, ok := a.sessions[args.Router]
-	if !ok {
-		return fmt.Errorf("router %s has no session", args.Router)
+	s, err := c.standing()
+	if err != nil {
+		return err
 	}
 	if len(s.outbox)+len(s.suspects)+len(s.evicted) == 0 {
 		a.await(s)
@@ -92,10 +129,9 @@
 	}
 	s.seen = a.o.Clock.Now()
 	reply.Suspects = a.news(s.seen, s)
-	reply.Offers = s.outbox
-	s.outbox = nil
-	reply.Refused = s.evicted
-	s.evicted = nil
+	if err := s.unload(reply); err != nil {
+		return err
+	}
 	reply.Load = a.admission.InUse() + a.admission.Waiting()
 	reply.Slots = a.o.Server.Slots()
 	if a.admission.Waiting() == 0 && !a.o.Policy.Pushes() {
--- a/internal/agent/hungup_test.go
+++ b/internal/agent/hungup_test.go
@@ -44,8 +44,8 @@
 			t.Fatal(err)
 		}
 		var reply peer.ExchangeReply
-		leave := []ticket.Ticket{{Request: "r", Attempt: 1, Team: "bakery", Cost: 1, Remaining: clock.Minute}}
-		if err := c.Exchange(peer.ExchangeArgs{Router: "router-1.x", Leave: leave}, &reply); err != nil {
+		left := ticket.Ticket{Attempt: 1, Team: "bakery", Cost: 1, Remaining: clock.Minute}
+		if err := c.Exchange(peer.ExchangeArgs{Leave: []peer.Ticket{{Request: 1, Rest: left}}}, &reply); err != nil {
 			t.Fatal(err)
 		}
 		if got := a.admission.InUse(); got != 1 {
--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/internal/ticket"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -8,6 +9,8 @@
 // session is one router's standing with the agent.
 type session struct {
 	router string
+	// ids converts the ids that travel inside the session.
+	ids peer.Session
 	// outbox holds offers that the router has not fetched.
 	outbox []ticket.Offer
 	// suspects holds the fingerprints of which the router has not heard.
@@ -22,11 +25,23 @@
 	waiting int
 }
 
-func newSession(router string, now clock.Millis) *session {
-	return &session{router: router, wake: make(chan struct{}), seen: now}
+func newSession(router, incarnation string, now clock.Millis) *session {
+	return &session{router: router, ids: peer.NewSession(router, incarnation), wake: make(chan struct{}), seen: now}
 }
 
 func (s *session) notify() {
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
+
+// unload moves offers and evictions into a reply.
+func (s *session) unload(reply *peer.OffersReply) error {
+	offers, evicted := s.outbox, s.evicted
+	s.outbox, s.evicted = nil, nil
+	var err error
+	if reply.Offers, err = s.ids.PackOffers(offers); err != nil {
+		return err
+	}
+	reply.Refused, err = s.ids.PackRequests(evicted)
+	return err
+}
--- /dev/null
+++ b/internal/agent/session_test.go
@@ -0,0 +1,181 @@
+package agent_test
+
+import (
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"net/rpc"
+	"strings"
+	"testing"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/admission"
+	"github.com/laburnumring/laburnumring/internal/agent"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/ticket"
+	"github.com/laburnumring/laburnumring/internal/traffic"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/server"
+	"github.com/laburnumring/laburnumring/pkg/service"
+)
+
+// agentAt is an agent's run whose loops stand still.
+type agentAt struct {
+	t       *testing.T
+	agent   *agent.Agent
+	address string
+}
+
+func newAgentAt(t *testing.T, incarnation string) *agentAt {
+	t.Helper()
+	a, err := agent.New(agent.Options{
+		Server: server.New("s", server.Options{Service: "pool", Slots: 4}), Kind: service.Plain,
+		Incarnation: incarnation, Clock: wallclock.New(), Policy: laburnumring.LocalFair,
+		Logger: event.NewLogger(io.Discard, "", "agent"), LogTraffic: &traffic.Counter{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(a.Handler())
+	t.Cleanup(s.Close)
+	agent.TakeWork(a)
+	return &agentAt{t: t, agent: a, address: strings.TrimPrefix(s.URL, "http://")}
+}
+
+// dial opens a connection without a session.
+func (a *agentAt) dial() *rpc.Client {
+	a.t.Helper()
+	c, err := peer.Dial(a.t.Context(), a.address, nil, &traffic.Counter{})
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// open opens a connection with a session.
+func (a *agentAt) open(router string) *rpc.Client {
+	a.t.Helper()
+	c := a.dial()
+	if err := c.Call("Agent.Hello", peer.HelloArgs{Router: router}, &peer.HelloReply{}); err != nil {
+		a.t.Fatal(err)
+	}
+	return c
+}
+
+// offered leaves a ticket for the request of this number and returns the offer that follows.
+func offered(t *testing.T, c *rpc.Client, number uint64) peer.Offer {
+	t.Helper()
+	left := ticket.Ticket{Attempt: 1, Team: "a", Cost: 1, Remaining: clock.Minute}
+	args := peer.ExchangeArgs{Leave: []peer.Ticket{{Request: number, Rest: left}}}
+	var taken peer.ExchangeReply
+	if err := c.Call("Agent.Exchange", args, &taken); err != nil || len(taken.Refused) > 0 {
+		t.Fatalf("ticket refused: %v, %v", taken.Refused, err)
+	}
+	var reply peer.OffersReply
+	if err := c.Call("Agent.Offers", peer.OffersArgs{}, &reply); err != nil || len(reply.Offers) != 1 {
+		t.Fatalf("offers %+v, %v", reply.Offers, err)
+	}
+	return reply.Offers[0]
+}
+
+// withdrawn withdraws the offer of a full id, on a connection without a session, and returns its state.
+func (a *agentAt) withdrawn(id string) admission.State {
+	a.t.Helper()
+	var reply peer.WithdrawReply
+	if err := a.dial().Call("Agent.WithdrawOffer", peer.WithdrawArgs{Router: "r.1", Offer: id}, &reply); err != nil {
+		a.t.Fatal(err)
+	}
+	return reply.State
+}
+
+// wantRefused makes the calls that need a session and wants each to fail with text.
+func wantRefused(t *testing.T, c *rpc.Client, text string) {
+	t.Helper()
+	exchange := c.Call("Agent.Exchange", peer.ExchangeArgs{Withdraw: []uint64{1}}, &peer.ExchangeReply{})
+	offers := c.Call("Agent.Offers", peer.OffersArgs{}, &peer.OffersReply{})
+	for _, err := range []error{exchange, offers} {
+		if err == nil || !strings.Contains(err.Error(), text) {
+			t.Errorf("error %v, want %q", err, text)
+		}
+	}
+}
+
+// TestCallsWithoutSession are refused: a number means nothing on a connection that no Hello opened.
+func TestCallsWithoutSession(t *testing.T) {
+	a := newAgentAt(t, "i")
+	a.open("r.1")
+	wantRefused(t, a.dial(), "no session")
+}
+
+// TestOldConnection loses its session when its router opens another one, and a Hello brings it back.
+func TestOldConnection(t *testing.T) {
+	a := newAgentAt(t, "i")
+	old := a.open("r.1")
+	o := offered(t, old, 7)
+	a.open("r.1")
+	wantRefused(t, old, "no session")
+	if state := a.withdrawn(fmt.Sprint("i.", o.Number)); state != admission.Withdrawn {
+		t.Errorf("the offer of the old session is %v", state)
+	}
+	if err := old.Call("Agent.Hello", peer.HelloArgs{Router: "r.1"}, &peer.HelloReply{}); err != nil {
+		t.Fatal(err)
+	}
+	offered(t, old, 8)
+}
+
+// TestSameNumbers of two routers are two requests, and neither may decline the other's offer.
+func TestSameNumbers(t *testing.T) {
+	a := newAgentAt(t, "i")
+	one, two := a.open("r.1"), a.open("r.2")
+	first, second := offered(t, one, 7), offered(t, two, 7)
+	if first.Number == second.Number || first.Request != 7 || second.Request != 7 {
+		t.Fatalf("offers %+v and %+v", first, second)
+	}
+	err := two.Call("Agent.Exchange", peer.ExchangeArgs{Decline: []uint64{first.Number}}, &peer.ExchangeReply{})
+	if err == nil || !strings.Contains(err.Error(), `none of "r.2"`) {
+		t.Errorf("another router's offer was declined: %v", err)
+	}
+	args := peer.ExchangeArgs{Decline: []uint64{second.Number}, Withdraw: []uint64{7}}
+	if err := two.Call("Agent.Exchange", args, &peer.ExchangeReply{}); err != nil {
+		t.Error(err)
+	}
+	if got := agent.InUse(a.agent); got != 1 {
+		t.Errorf("%d slots are held, want the first router's one", got)
+	}
+}
+
+// TestRestartedAgent gives numbers from 1 again; ids of its earlier run name nothing in it.
+func TestRestartedAgent(t *testing.T) {
+	before, after := newAgentAt(t, "i"), newAgentAt(t, "j")
+	o := offered(t, before.open("r.1"), 7)
+	p := offered(t, after.open("r.1"), 7)
+	if o.Number != p.Number {
+		t.Fatalf("numbers %d and %d", o.Number, p.Number)
+	}
+	if state := after.withdrawn(fmt.Sprint("i.", o.Number)); state != 0 {
+		t.Errorf("the earlier run's offer is %v", state)
+	}
+	if state := after.withdrawn(fmt.Sprint(o.Number)); state != 0 {
+		t.Errorf("a bare number is the offer of state %v", state)
+	}
+	if state := after.withdrawn(fmt.Sprint("j.", p.Number)); state != admission.Withdrawn {
+		t.Errorf("the offer is %v", state)
+	}
+}
+
+// TestBadNumber refuses a whole batch: nothing of it happens.
+func TestBadNumber(t *testing.T) {
+	a := newAgentAt(t, "i")
+	c := a.open("r.1")
+	o := offered(t, c, 7)
+	args := peer.ExchangeArgs{Decline: []uint64{o.Number}, Withdraw: []uint64{0}}
+	if err := c.Call("Agent.Exchange", args, &peer.ExchangeReply{}); err == nil {
+		t.Error("number 0 was taken for a request")
+	}
+	if got := agent.InUse(a.agent); got != 1 {
+		t.Errorf("%d slots are held, want 1", got)
+	}
+}
--- /dev/null
+++ b/internal/peer/ids.go
@@ -0,0 +1,190 @@
+package peer
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/internal/ticket"
+)
+
+// ForeignIDError reports an id that has no number in a session.
+type ForeignIDError struct {
+	// ID is the id.
+	ID string
+	// Owner is the process of the session whose ids are expected.
+	Owner string
+}
+
+// Error implements error.
+func (e *ForeignIDError) Error() string {
+	return fmt.Sprintf("id %q is none of %q", e.ID, e.Owner)
+}
+
+// BadNumberError reports a number that stands for no id.
+type BadNumberError struct {
+	// Number is the number.
+	Number uint64
+	// Owner is the process of the session whose ids are expected.
+	Owner string
+}
+
+// Error implements error.
+func (e *BadNumberError) Error() string {
+	return fmt.Sprintf("number %d is no id of %q", e.Number, e.Owner)
+}
+
+// ids converts between the ids that one run of a process gives, "owner.number", and their numbers from 1.
+type ids struct {
+	// owner is unique to the run; without one there are no ids.
+	owner string
+}
+
+func (d ids) number(id string) (uint64, error) {
+	digits, ok := strings.CutPrefix(id, d.owner+".")
+	n, err := strconv.ParseUint(digits, 10, 64)
+	if !ok || err != nil || n == 0 || d.owner == "" || strconv.FormatUint(n, 10) != digits {
+		return 0, &ForeignIDError{ID: id, Owner: d.owner}
+	}
+	return n, nil
+}
+
+func (d ids) id(n uint64) (string, error) {
+	if n == 0 || d.owner == "" {
+		return "", &BadNumberError{Number: n, Owner: d.owner}
+	}
+	return d.owner + "." + strconv.FormatUint(n, 10), nil
+}
+
+// Session converts between full ids and the numbers that stand for them inside one session. Errors of all its
+// methods are of type *ForeignIDError or *BadNumberError.
+type Session struct {
+	// requests are the router's and offers the agent's.
+	requests, offers ids
+}
+
+// NewSession returns the conversions of the session between a router and an agent, each named with its
+// incarnation as its ids begin.
+func NewSession(router, agent string) Session {
+	return Session{requests: ids{router}, offers: ids{agent}}
+}
+
+// Batch holds changes from a router, with full ids, in their order.
+type Batch struct {
+	// Leave holds new tickets; Withdraw holds ids of requests; Decline holds ids of offers.
+	Leave    []ticket.Ticket
+	Withdraw []string
+	Decline  []string
+	// Suspects holds news of requests that take servers down.
+	Suspects []suspect.Entry
+}
+
+// Empty reports whether there is nothing to send.
+func (b Batch) Empty() bool {
+	return len(b.Leave)+len(b.Withdraw)+len(b.Decline)+len(b.Suspects) == 0
+}
+
+// Pack returns the message for a batch.
+func (s Session) Pack(b Batch) (ExchangeArgs, error) {
+	args := ExchangeArgs{Suspects: b.Suspects}
+	var err error
+	if args.Leave, err = convert(b.Leave, s.packTicket); err != nil {
+		return ExchangeArgs{}, err
+	}
+	if args.Withdraw, err = convert(b.Withdraw, s.requests.number); err != nil {
+		return ExchangeArgs{}, err
+	}
+	if args.Decline, err = convert(b.Decline, s.offers.number); err != nil {
+		return ExchangeArgs{}, err
+	}
+	return args, nil
+}
+
+// Unpack returns the batch of a message.
+func (s Session) Unpack(args ExchangeArgs) (Batch, error) {
+	b := Batch{Suspects: args.Suspects}
+	var err error
+	if b.Leave, err = convert(args.Leave, s.unpackTicket); err != nil {
+		return Batch{}, err
+	}
+	if b.Withdraw, err = convert(args.Withdraw, s.requests.id); err != nil {
+		return Batch{}, err
+	}
+	if b.Decline, err = convert(args.Decline, s.offers.id); err != nil {
+		return Batch{}, err
+	}
+	return b, nil
+}
+
+// PackRequests returns the numbers of requests.
+func (s Session) PackRequests(requests []string) ([]uint64, error) {
+	return convert(requests, s.requests.number)
+}
+
+// UnpackRequests returns the ids of numbered requests.
+func (s Session) UnpackRequests(numbers []uint64) ([]string, error) {
+	return convert(numbers, s.requests.id)
+}
+
+// PackOffers returns offers as they travel.
+func (s Session) PackOffers(offers []ticket.Offer) ([]Offer, error) {
+	return convert(offers, s.packOffer)
+}
+
+// UnpackOffers returns the offers of a message.
+func (s Session) UnpackOffers(offers []Offer) ([]ticket.Offer, error) {
+	return convert(offers, s.unpackOffer)
+}
+
+func (s Session) packTicket(t ticket.Ticket) (Ticket, error) {
+	n, err := s.requests.number(t.Request)
+	t.Request = ""
+	return Ticket{Request: n, Rest: t}, err
+}
+
+func (s Session) unpackTicket(t Ticket) (ticket.Ticket, error) {
+	if t.Rest.Request != "" {
+		return ticket.Ticket{}, &ForeignIDError{ID: t.Rest.Request, Owner: s.requests.owner}
+	}
+	out := t.Rest
+	var err error
+	out.Request, err = s.requests.id(t.Request)
+	return out, err
+}
+
+func (s Session) packOffer(o ticket.Offer) (Offer, error) {
+	if o.Router != s.requests.owner {
+		return Offer{}, &ForeignIDError{ID: o.Router, Owner: s.requests.owner}
+	}
+	n, err := s.offers.number(o.ID)
+	if err != nil {
+		return Offer{}, err
+	}
+	request, err := s.requests.number(o.Request)
+	return Offer{Number: n, Request: request, Attempt: o.Attempt}, err
+}
+
+func (s Session) unpackOffer(o Offer) (ticket.Offer, error) {
+	id, err := s.offers.id(o.Number)
+	if err != nil {
+		return ticket.Offer{}, err
+	}
+	request, err := s.requests.id(o.Request)
+	return ticket.Offer{ID: id, Router: s.requests.owner, Request: request, Attempt: o.Attempt}, err
+}
+
+// convert returns f of each element, or the first error.
+func convert[T, U any](in []T, f func(T) (U, error)) ([]U, error) {
+	if len(in) == 0 {
+		return nil, nil
+	}
+	out := make([]U, len(in))
+	for i, v := range in {
+		var err error
+		if out[i], err = f(v); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -37,34 +37,51 @@
 	Version int64
 }
 
-// ExchangeArgs carries a batch of changes from a router, in their order.
+// Ticket is a ticket inside a session.
+type Ticket struct {
+	// Request is the request's number among those of the session's router; at least 1.
+	Request uint64
+	// Rest is the ticket without the request's id.
+	Rest ticket.Ticket
+}
+
+// Offer is an offer inside a session.
+type Offer struct {
+	// Number is the offer's among those of the session's agent; at least 1.
+	Number uint64
+	// Request is the request's number among those of the session's router; at least 1.
+	Request uint64
+	// Attempt is that of the ticket.
+	Attempt int
+}
+
+// ExchangeArgs carries a batch of changes from a router, in their order, over the connection of its Hello.
 type ExchangeArgs struct {
-	Router string
-	// Leave holds new tickets; Withdraw holds ids of requests; Decline holds ids of offers.
-	Leave    []ticket.Ticket
-	Withdraw []string
-	Decline  []string
+	// Leave holds new tickets; Withdraw holds numbers of requests; Decline holds numbers of offers.
+	Leave    []Ticket
+	Withdraw []uint64
+	Decline  []uint64
 	// Suspects holds news of requests that take servers down.
 	Suspects []suspect.Entry
 }
 
 // ExchangeReply answers a batch.
 type ExchangeReply struct {
-	// Refused holds the ids of requests whose tickets were not taken.
-	Refused []string
+	// Refused holds the numbers of requests whose tickets were not taken.
+	Refused []uint64
 }
 
-// OffersArgs waits for offers; it is the router's heartbeat too.
+// OffersArgs waits for offers, over the connection of the router's Hello; it is the router's heartbeat too.
 type OffersArgs struct {
-	Router  string
+	// Version is the configuration version that the router has in force.
 	Version int64
 }
 
 // OffersReply carries offers and the agent's state; it is the agent's heartbeat too.
 type OffersReply struct {
-	Offers []ticket.Offer
-	// Refused holds the ids of requests whose tickets are not held any more.
-	Refused []string
+	Offers []Offer
+	// Refused holds the numbers of requests whose tickets are not held any more.
+	Refused []uint64
 	// Suspects holds news of requests that take servers down.
 	Suspects []suspect.Entry
 	// Free is how many slots no ticket fills.
@@ -81,7 +98,7 @@
 	Version int64
 }
 
-// WithdrawArgs names an offer whose request must not start any more.
+// WithdrawArgs names an offer whose request must not start any more. It needs no session, so the id is a full one.
 type WithdrawArgs struct {
 	Router string
 	Offer  string
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -33,7 +33,7 @@
 	// stop ends the link's goroutines; it is set before they start.
 	stop context.CancelFunc
 	// outbox holds what is to be sent; guarded by the router's mu.
-	outbox peer.ExchangeArgs
+	outbox peer.Batch
 	// wake has room for one signal that outbox is not empty.
 	wake chan struct{}
 	// open says that a session stands; guarded by the router's mu.
@@ -72,40 +72,42 @@
 		return err
 	}
 	defer func() { _ = client.Close() }()
-	if err := l.hello(ctx, client); err != nil {
+	ids, err := l.hello(ctx, client)
+	if err != nil {
 		return err
 	}
 	ctx, stop := context.WithCancelCause(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { stop(l.fetchOffers(ctx, client)) })
+	wg.Go(func() { stop(l.fetchOffers(ctx, client, ids)) })
 	wg.Go(func() { l.levelVersions(ctx, client) })
-	stop(l.sendBatches(ctx, client))
+	stop(l.sendBatches(ctx, client, ids))
 	wg.Wait()
 	return context.Cause(ctx)
 }
 
-func (l *link) hello(ctx context.Context, client *rpc.Client) error {
+// hello opens the session and returns the conversions of its ids.
+func (l *link) hello(ctx context.Context, client *rpc.Client) (peer.Session, error) {
 	r := l.r
 	var reply peer.HelloReply
 	err := invoke(ctx, client, "Hello", peer.HelloArgs{Router: r.id, Version: r.version()}, &reply)
 	if err != nil {
-		return err
+		return peer.Session{}, err
 	}
 	if reply.Server != l.server {
-		return &wrongServerError{Address: l.address, Want: l.server, Got: reply.Server}
+		return peer.Session{}, &wrongServerError{Address: l.address, Want: l.server, Got: reply.Server}
 	}
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l.open = true
-	l.outbox = peer.ExchangeArgs{Router: r.id, Suspects: r.suspects.Entries(now)}
+	l.outbox = peer.Batch{Suspects: r.suspects.Entries(now)}
 	l.signal()
 	l.heard(reply.Version)
 	if r.membership.Answered(l.server, reply.Incarnation) {
 		r.o.Logger.Log(event.AgentReady, "server", l.server, "incarnation", reply.Incarnation)
 		r.do(r.dispatch.AgentReady(now, l.server))
 	}
-	return nil
+	return peer.NewSession(r.id, reply.Incarnation), nil
 }
 
 // close ends a session: what the agent held for this router is void.
@@ -128,19 +130,28 @@
 }
 
 // fetchOffers waits for offers until the session breaks.
-func (l *link) fetchOffers(ctx context.Context, client *rpc.Client) error {
+func (l *link) fetchOffers(ctx context.Context, client *rpc.Client, ids peer.Session) error {
 	for ctx.Err() == nil {
 		var reply peer.OffersReply
-		args := peer.OffersArgs{Router: l.r.id, Version: l.r.version()}
+		args := peer.OffersArgs{Version: l.r.version()}
 		if err := invoke(ctx, client, "Offers", args, &reply); err != nil {
 			return err
 		}
-		l.take(reply)
+		offers, err := ids.UnpackOffers(reply.Offers)
+		if err != nil {
+			return err
+		}
+		refused, err := ids.UnpackRequests(reply.Refused)
+		if err != nil {
+			return err
+		}
+		l.take(reply, offers, refused)
 	}
 	return ctx.Err()
 }
 
-func (l *link) take(reply peer.OffersReply) {
+// take follows an agent's state, with the offers and the ids of refused requests that came with it.
+func (l *link) take(reply peer.OffersReply, offers []ticket.Offer, refused []string) {
 	r := l.r
 	r.learn(l.server, reply.Suspects)
 	now := r.o.Clock.Now()
@@ -152,10 +163,10 @@
 	l.heard(reply.Version)
 	before, _ := r.board.Peer(l.server)
 	state := r.membership.Reported(l.server, reply.Load, reply.Slots, reply.Draining, reply.Down)
-	for _, id := range reply.Refused {
+	for _, id := range refused {
 		r.dispatch.TicketRefused(now, l.server, id)
 	}
-	l.answerOffers(now, before.State, reply.Offers)
+	l.answerOffers(now, before.State, offers)
 	if state == board.Leaving && before.State != board.Leaving {
 		r.o.Logger.Log(event.AgentLeaving, "server", l.server, "source", "agent")
 	}
@@ -172,7 +183,7 @@
 }
 
 // sendBatches sends what is in the outbox until the session breaks.
-func (l *link) sendBatches(ctx context.Context, client *rpc.Client) error {
+func (l *link) sendBatches(ctx context.Context, client *rpc.Client, ids peer.Session) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,26 +191,39 @@
 		case <-l.wake:
 		}
 		batch := l.takeOutbox()
-		if batch.Router == "" {
+		if batch.Empty() {
 			continue
 		}
-		var reply peer.ExchangeReply
-		if err := invoke(ctx, client, "Exchange", batch, &reply); err != nil {
+		if err := l.exchange(ctx, client, ids, batch); err != nil {
 			return err
 		}
-		l.refused(reply.Refused)
 	}
 }
 
-// takeOutbox returns what is to be sent, with an empty Router when there is nothing.
-func (l *link) takeOutbox() peer.ExchangeArgs {
+// exchange sends one batch and takes the agent's refusals.
+func (l *link) exchange(ctx context.Context, client *rpc.Client, ids peer.Session, batch peer.Batch) error {
+	args, err := ids.Pack(batch)
+	if err != nil {
+		return err
+	}
+	var reply peer.ExchangeReply
+	if err := invoke(ctx, client, "Exchange", args, &reply); err != nil {
+		return err
+	}
+	refused, err := ids.UnpackRequests(reply.Refused)
+	if err != nil {
+		return err
+	}
+	l.refused(refused)
+	return nil
+}
+
+// takeOutbox returns what is to be sent.
+func (l *link) takeOutbox() peer.Batch {
 	l.r.mu.Lock()
 	defer l.r.mu.Unlock()
 	batch := l.outbox
-	if len(batch.Leave)+len(batch.Withdraw)+len(batch.Decline)+len(batch.Suspects) == 0 {
-		return peer.ExchangeArgs{}
-	}
-	l.outbox = peer.ExchangeArgs{Router: l.r.id}
+	l.outbox = peer.Batch{}
 	return batch
 }
 
--- a/internal/router/subset.go
+++ b/internal/router/subset.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/interval"
-	"github.com/laburnumring/laburnumring/internal/peer"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -54,7 +53,6 @@
 		return
 	}
 	l := newLink(r, name, p.Address)
-	l.outbox = peer.ExchangeArgs{Router: r.id}
 	r.links[name] = l
 	ctx, cancel := context.WithCancel(r.linkContext)
 	l.stop = cancel
