--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -86,11 +86,6 @@
 	alone bool
 }
 
-// holdsSlot reports whether the offer occupies a slot.
-func (o *offer) holdsSlot() bool {
-	return o.state == Offered || o.state == Accepted || o.state == Started
-}
-
 // Controller keeps one agent's tickets and offers. It is used by one goroutine at a time.
 type Controller struct {
 	o Options
