--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,54 @@
+package capacity_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/capacity"
+	"github.com/laburnumring/laburnumring/internal/slopes"
+)
+
+// TestPageShowsTheSlopes holds the tables of docs/CAPACITY.md to the slopes that stand beside it.
+func TestPageShowsTheSlopes(t *testing.T) {
+	f, err := os.Open("../../docs/capacity/slopes.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	var all []slopes.Slope
+	dec := json.NewDecoder(f)
+	for {
+		var s slopes.Slope
+		err := dec.Decode(&s)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := slopes.NewFit(s.Points); got != s.Fit {
+			t.Errorf("axis %s, %s, %s: fit %+v, the points give %+v", s.Axis, s.Role, s.Cost, s.Fit, got)
+		}
+		all = append(all, s)
+	}
+	rows, err := capacity.Rows(all, capacity.Design())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tables bytes.Buffer
+	if err := capacity.Write(&tables, rows); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile("../../docs/CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), tables.String()) {
+		t.Errorf("the page's tables are not those of the slopes:\n%s", tables.String())
+	}
+}
