agent: Let go of forgotten answers, and drop what nothing uses

Cause: a read of the whole change found: forgotten answers stayed in the array behind the queue, past the bound of 16 MiB; each tick moved the whole queue of ended offers; a run was made in the same three lines in two places; slopes were decoded in two; board.Peer.Free, Target.Tickets, Assembler.Offset and Process.Name had no reader.

Change: queues clear what they drop; launch makes the run; slopes.Read; the unused fields and accessors are gone. No check is changed.

The memory that was held is seen by reading, not measured.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -21,18 +19,9 @@
 }
 
 func run(r io.Reader, w io.Writer) error {
-	var all []slopes.Slope
-	dec := json.NewDecoder(r)
-	for {
-		var s slopes.Slope
-		err := dec.Decode(&s)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return err
-		}
-		all = append(all, s)
+	all, err := slopes.Read(r)
+	if err != nil {
+		return err
 	}
 	rows, err := capacity.Rows(all, capacity.Design())
 	if err != nil {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -205,7 +205,8 @@
 		delete(c.offers, c.ended[n].message.ID)
 		n++
 	}
-	c.ended = slices.Delete(c.ended, 0, n)
+	clear(c.ended[:n])
+	c.ended = c.ended[n:]
 }
 
 // expired returns the offers that no router answered in time.
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -11,7 +11,6 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/invariant"
 	"github.com/laburnumring/laburnumring/internal/peer"
-	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
@@ -177,11 +176,8 @@
 		a.claims.c.Release(entryOf(m))
 		return claimResult{err: err}
 	}
-	s := &startedRun{run: run.New(run.Options{From: m.Start.ResumeFrom}), router: m.Start.Router, readers: 1}
-	a.started[m.Start.Offer] = s
 	a.claims.runs[key] = m.Start.Offer
-	a.launch(m, s)
-	return claimResult{s: s}
+	return claimResult{s: a.launch(m)}
 }
 
 // claimRefused withdraws the offer of a claim that was refused. The answer of the key's run is delivered
--- a/internal/agent/http.go
+++ b/internal/agent/http.go
@@ -14,7 +14,6 @@
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/keys"
 	"github.com/laburnumring/laburnumring/internal/peer"
-	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/internal/status"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 )
@@ -111,8 +110,5 @@
 	if err := a.admission.Start(now, m.Start.Offer); err != nil {
 		return nil, err
 	}
-	s := &startedRun{run: run.New(run.Options{From: m.Start.ResumeFrom}), router: m.Start.Router, readers: 1}
-	a.started[m.Start.Offer] = s
-	a.launch(m, s)
-	return s, nil
+	return a.launch(m), nil
 }
--- a/internal/agent/kept.go
+++ b/internal/agent/kept.go
@@ -27,6 +27,7 @@
 		if !old && a.keptBytes <= keepBytes {
 			return
 		}
+		a.kept[0] = keptRun{} // The array behind the slice must not hold on to the answer.
 		a.kept = a.kept[1:]
 		if !old && k.s.readers > 0 {
 			a.kept = append(a.kept, k)
--- a/internal/agent/launch.go
+++ b/internal/agent/launch.go
@@ -9,12 +9,16 @@
 	"github.com/laburnumring/laburnumring/internal/backend"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/peer"
+	"github.com/laburnumring/laburnumring/internal/run"
 	"github.com/laburnumring/laburnumring/pkg/outcome"
 	"github.com/laburnumring/laburnumring/pkg/service"
 )
 
-// launch runs a started request in a goroutine of its own; callers hold mu.
-func (a *Agent) launch(m peer.StartMessage, s *startedRun) {
+// launch runs a started request in a goroutine of its own and returns the run, which counts one stream that
+// delivers its answer; callers hold mu.
+func (a *Agent) launch(m peer.StartMessage) *startedRun {
+	s := &startedRun{run: run.New(run.Options{From: m.Start.ResumeFrom}), router: m.Start.Router, readers: 1}
+	a.started[m.Start.Offer] = s
 	a.running[m.Start.Offer] = s
 	ctx, cancel := a.runContext(m)
 	if a.o.Kind == service.Model && m.Start.Repeatable {
@@ -34,6 +38,7 @@
 		}
 		a.finish(m, s, end, err)
 	})
+	return s
 }
 
 // runContext ends a model engine's run at the request's deadline; a plain service's call is never cut.
--- a/internal/answer/assembler.go
+++ b/internal/answer/assembler.go
@@ -87,9 +87,6 @@
 	return *a.end, true
 }
 
-// Offset returns the position of the next byte.
-func (a *Assembler) Offset() int64 { return a.offset }
-
 // Dropped returns how many frames were repeated or belonged to another attempt.
 func (a *Assembler) Dropped() int64 { return a.dropped }
 
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -39,8 +39,6 @@
 	Slots int
 	// Load is how many requests the agent last said to hold, running or waiting.
 	Load int
-	// Free is how many slots the agent last said to have free with nothing to run in them.
-	Free int
 }
 
 // Board is written by the controller named at each field and read by all. It is used by one goroutine at a
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
-	"errors"
-	"io"
 	"os"
 	"strings"
 	"testing"
@@ -20,21 +17,14 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = f.Close() }()
-	var all []slopes.Slope
-	dec := json.NewDecoder(f)
-	for {
-		var s slopes.Slope
-		err := dec.Decode(&s)
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
+	all, err := slopes.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range all {
 		if got := slopes.NewFit(s.Points); got != s.Fit {
 			t.Errorf("axis %s, %s, %s: fit %+v, the points give %+v", s.Axis, s.Role, s.Cost, s.Fit, got)
 		}
-		all = append(all, s)
 	}
 	rows, err := capacity.Rows(all, capacity.Design())
 	if err != nil {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -51,9 +51,6 @@
 	return nil
 }
 
-// Name returns the process's name in the fleet.
-func (p *Process) Name() string { return p.name }
-
 // Signal sends s to the process.
 func (p *Process) Signal(s syscall.Signal) error {
 	return p.cmd.Process.Signal(s)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -70,7 +70,6 @@
 	}
 	p.Incarnation = incarnation
 	p.Load = 0
-	p.Free = 0
 	p.State = c.state(p)
 	c.b.SetPeer(p)
 	return p.State == board.Ready
--- a/policy.go
+++ b/policy.go
@@ -31,8 +31,6 @@
 	Slots int
 	// Load is how many requests the agent last said to hold, running or waiting.
 	Load int
-	// Tickets is how many tickets this router has left there.
-	Tickets int
 }
 
 // Placement decides with which agents a router leaves a request's tickets.
