--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -42,7 +42,7 @@
 	app.ErrorWriter(stderr)
 	run := make(map[string]func(context.Context) error)
 	for _, register := range []func(*kingpin.Application, *environment) (string, func(context.Context) error){
-		registerRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow,
+		registerRouter, registerPlatformRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow,
 		registerKeysAuthority, registerKeysIssue, registerKeysToken, registerStatus, registerVersion,
 		registerOrderLease, registerOrderSend,
 	} {
--- /dev/null
+++ b/internal/commands/platform.go
@@ -0,0 +1,124 @@
+package commands
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gorilla/mux"
+	"github.com/joomcode/errorx"
+
+	"github.com/laburnumring/laburnumring/internal/deadpeer"
+	"github.com/laburnumring/laburnumring/internal/direct"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/incarnation"
+	"github.com/laburnumring/laburnumring/internal/retrycap"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
+	"github.com/laburnumring/laburnumring/platform"
+)
+
+// Settings of a router on the platform.
+const (
+	// garbagePercent trades processor time, which is cheap there, for memory, which is dear.
+	garbagePercent = 40
+	// memoryPart is the part of the memory limit above which garbage is collected at any cost.
+	memoryPart = 0.8
+	// retryParts is among how many routers the retry budget is divided: twice those of the smallest site, so that
+	// added VMs and restarts stay within it.
+	retryParts = 10
+	// retryCaution is the part of the allowed ratio that a router uses, as its requests and repeats are counted in
+	// windows that do not match the platform's.
+	retryCaution = 0.8
+)
+
+func registerPlatformRouter(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
+	cmd := app.Command("platform-router", "Run a router on an entry VM of the users' platform.")
+	file := cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
+	return cmd.FullCommand(), func(ctx context.Context) error {
+		s, err := platform.ReadSettings(*file)
+		if err != nil {
+			return rejected(env, "router", err)
+		}
+		debug.SetGCPercent(garbagePercent)
+		if s.MemoryBytes > 0 {
+			debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
+		}
+		logger := event.NewLogger(env.stdout, "logfmt", "router")
+		go reloadOnHangup(ctx, logger, *file)
+		return servePlatform(ctx, s, newDirect(s, logger))
+	}
+}
+
+func newDirect(s platform.Settings, logger *event.Logger) *direct.Router {
+	store := platform.NewStore(s.Store.String())
+	var seeds []netip.Addr
+	for _, a := range s.Seeds {
+		seeds = append(seeds, a.Addr())
+	}
+	return direct.New(direct.Options{
+		Name: s.Name, Place: s.Place, Incarnation: incarnation.New(),
+		Address: netip.AddrPortFrom(s.Callers.Addr(), s.PeerPort), Seeds: seeds,
+		Clock: wallclock.New(), Dialect: platform.Dialect{}, Decode: platform.DecodeConfiguration,
+		Configurations: platform.NewConfigurations(store),
+		Servers: platform.NewServers(store, func(key string, offset int64, err error) {
+			logger.Log(event.PlatformRecordBad, "record", key, "offset", offset, "error", err)
+		}),
+		Retry: retrycap.Options{
+			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst / retryParts,
+		},
+		Grace: s.Grace, Logger: logger,
+	})
+}
+
+// servePlatform serves callers, the balancer's look and metrics while r runs.
+func servePlatform(ctx context.Context, s platform.Settings, r *direct.Router) error {
+	ready := mux.NewRouter()
+	ready.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	metrics := mux.NewRouter()
+	metrics.Handle("/metrics", r.Metrics())
+	lc := net.ListenConfig{KeepAliveConfig: deadpeer.KeepAlive(), Control: deadpeer.Control}
+	callers, err := lc.Listen(ctx, "tcp", s.Callers.String())
+	if err != nil {
+		return errorx.Decorate(err, "listen for callers")
+	}
+	return httpserve.Serve(ctx, r.Run,
+		httpserve.Listener{Net: callers, Handler: r.Handler()},
+		httpserve.Listener{Address: s.Ready.String(), Handler: ready},
+		httpserve.Listener{
+			Address: net.JoinHostPort(s.Callers.Addr().String(), strconv.Itoa(int(s.MetricsPort))), Handler: metrics,
+		},
+	)
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP, to tell the operator whether they can be used.
+func reloadOnHangup(ctx context.Context, logger *event.Logger, file string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			began := time.Now()
+			if _, err := platform.ReadSettings(file); err != nil {
+				logger.Log(event.SettingsRejected, "error", err)
+				continue
+			}
+			logger.Log(event.SettingsReloaded, "took_ms", time.Since(began).Milliseconds())
+		}
+	}
+}
--- /dev/null
+++ b/internal/direct/direct.go
@@ -0,0 +1,232 @@
+// Package direct is the router towards services that are reached without agents: it holds the callers' connections,
+// chooses a backend server for each request and passes the answer on.
+package direct
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gossip"
+	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/retrycap"
+	"github.com/laburnumring/laburnumring/internal/roster"
+	"github.com/laburnumring/laburnumring/internal/routing"
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/internal/upstream"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Options are what a Router is built from.
+type Options struct {
+	// Name is the router's name and Place the name of its place.
+	Name  string
+	Place string
+	// Incarnation is unique to this run of the process.
+	Incarnation string
+	// Address is the router's IP address with the port for its peers, Seeds the IP addresses of some of them.
+	Address netip.AddrPort
+	Seeds   []netip.Addr
+	// Clock tells the time.
+	Clock laburnumring.Clock
+	// Dialect translates headers, and Decode reads a configuration's text.
+	Dialect laburnumring.Dialect
+	Decode  func(text []byte) (*routing.Table, error)
+	// Configurations and Servers are the platform's.
+	Configurations laburnumring.ConfigurationWatcher
+	Servers        laburnumring.ServerLister
+	// Retry bounds repeated sends of each service at this router.
+	Retry retrycap.Options
+	// Grace is the time from the request to stop until the process must have ended.
+	Grace time.Duration
+	// Logger takes events.
+	Logger *event.Logger
+	// Collectors are added to the router's metrics.
+	Collectors []prometheus.Collector
+}
+
+// Intervals of the router's loops.
+const (
+	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
+	pollInterval = 10 * time.Millisecond
+	// listInterval is the time between reads of the list of backend servers. With the time of a read it stays well
+	// under the two seconds in which a leaving server must get no more work.
+	listInterval  = 700 * time.Millisecond
+	pruneInterval = 1 * time.Second
+	// retryPause is the time after a failed call of the platform.
+	retryPause = 250 * time.Millisecond
+)
+
+// Router is one running router.
+type Router struct {
+	o       Options
+	pool    *upstream.Pool
+	gossip  *gossip.Exchange
+	metrics *metrics
+	// table is the configuration in force; nil before the first.
+	table atomic.Pointer[routing.Table]
+	// stopping is when a shutdown began; 0 before.
+	stopping atomic.Int64
+	// inbound counts callers' requests that have not been answered.
+	inbound atomic.Int64
+	count   atomic.Int64
+	// background owns the checks of servers.
+	background sync.WaitGroup
+
+	mu sync.Mutex
+	// All below is guarded by mu.
+	text     laburnumring.ConfigurationText
+	roster   *roster.Roster
+	intake   *intake.Controller
+	suspects *suspect.List
+	retries  map[string]*retrycap.Cap
+	// calls holds the requests that wait for a decision.
+	calls map[int64]*call
+	// breaks holds the requests whose server broke off lately, by the server's address.
+	breaks map[string][]broken
+	// listed says that the last read of the server list succeeded.
+	listed bool
+	// asking says that a peer is being asked for its state.
+	asking bool
+}
+
+// broken is a request whose server broke off.
+type broken struct {
+	fingerprint uint64
+	server      string
+	at          clock.Millis
+}
+
+// New returns a router that does nothing until Run.
+func New(o Options) *Router {
+	r := &Router{
+		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
+		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
+		suspects: suspect.New(suspect.Options{}), retries: make(map[string]*retrycap.Cap),
+		calls: make(map[int64]*call), breaks: make(map[string][]broken),
+	}
+	r.metrics.registry.MustRegister(o.Collectors...)
+	r.gossip = gossip.New(gossip.Options{
+		Address: o.Address, Seeds: o.Seeds, Incarnation: o.Incarnation, Clock: o.Clock, Logger: o.Logger,
+		Message: r.message, Received: r.received,
+	})
+	return r
+}
+
+// Run works until ctx ends and then shuts down: it goes on taking requests until callers' new connections go
+// elsewhere, and waits for those in progress.
+func (r *Router) Run(ctx context.Context) error {
+	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){r.followConfiguration, r.followServers, r.poll, r.prune} {
+		wg.Go(func() { loop(loops) })
+	}
+	failed := make(chan error, 2)
+	wg.Go(func() { failed <- r.gossip.Run(loops) })
+	wg.Go(func() { failed <- r.servePeers(loops) })
+	r.o.Logger.Log(event.Started, "router", r.o.Name, "incarnation", r.o.Incarnation)
+	var err error
+	select {
+	case <-ctx.Done():
+		r.shutdown()
+	case err = <-failed:
+	}
+	cancel()
+	wg.Wait()
+	r.background.Wait()
+	return err
+}
+
+// Times of a shutdown, from its beginning.
+const (
+	// acceptTime is how long new requests are taken: the balancer notices within two of its looks, one a second.
+	acceptTime = 2500 * clock.Millis(1)
+	// endMargin is how long before the end of the grace time the process gives up on requests in progress.
+	endMargin = 500 * time.Millisecond
+)
+
+func (r *Router) shutdown() {
+	r.o.Logger.Log(event.Stopping, "in_progress", r.inbound.Load())
+	now := r.o.Clock.Now()
+	r.stopping.Store(int64(now))
+	end := now + clock.FromDuration(r.o.Grace-endMargin)
+	for {
+		now = r.o.Clock.Now()
+		accepting := now < clock.Millis(r.stopping.Load())+acceptTime
+		if !accepting && r.inbound.Load() == 0 {
+			break
+		}
+		if now > end {
+			r.o.Logger.Log(event.StopLimit, "in_progress", r.inbound.Load())
+			break
+		}
+		time.Sleep(pollInterval)
+	}
+	r.o.Logger.Log(event.Stopped)
+}
+
+// Ready reports whether new connections should come to this router.
+func (r *Router) Ready() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
+
+// accepting reports whether a request that has just been read may still be served.
+func (r *Router) accepting(now clock.Millis) bool {
+	s := clock.Millis(r.stopping.Load())
+	return s == 0 || now < s+acceptTime
+}
+
+// poll looks at the waiting requests again and again.
+func (r *Router) poll(ctx context.Context) {
+	interval.Every(ctx, pollInterval, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.decide()
+	})
+}
+
+// decide tells waiting requests what became of them; callers hold mu.
+func (r *Router) decide() {
+	if r.intake.Waiting() == 0 {
+		return
+	}
+	for _, d := range r.intake.Poll(r.o.Clock.Now()) {
+		if c, ok := r.calls[d.Request]; ok {
+			delete(r.calls, d.Request)
+			c.decided <- d
+		}
+	}
+}
+
+// prune forgets what is not needed any more.
+func (r *Router) prune(ctx context.Context) {
+	interval.Every(ctx, pruneInterval, func() {
+		r.pool.Prune()
+		now := r.o.Clock.Now()
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.suspects.Prune(now)
+		r.metrics.state(r.intake.Waiting(), r.inbound.Load(), r.suspects.Held())
+		for address, list := range r.breaks {
+			if now-list[len(list)-1].at > breakWindow {
+				delete(r.breaks, address)
+			}
+		}
+	})
+}
+
+// retryCap returns the bound on a service's repeated sends; callers hold mu.
+func (r *Router) retryCap(service string) *retrycap.Cap {
+	c, ok := r.retries[service]
+	if !ok {
+		c = retrycap.New(r.o.Retry)
+		r.retries[service] = c
+	}
+	return c
+}
--- /dev/null
+++ b/internal/direct/metrics.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// metrics are the router's counters and histograms.
+type metrics struct {
+	registry *prometheus.Registry
+	ended    *prometheus.CounterVec
+	refused  *prometheus.CounterVec
+	first    *prometheus.HistogramVec
+	sends    *prometheus.CounterVec
+	waiting  prometheus.Gauge
+	inbound  prometheus.Gauge
+	suspects prometheus.Gauge
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnumring_direct_requests_ended_total",
+			Help: "Requests that ended, by service, team and result.",
+		}, []string{"service", "team", "result"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnumring_direct_requests_refused_total", Help: "Requests refused, by service and reason.",
+		}, []string{"service", "reason"}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "laburnumring_direct_first_seconds",
+			Help:    "Time from a request's arrival to its answer or first event, by service and team.",
+			Buckets: []float64{.02, .05, .1, .2, .3, .4, .6, 1, 2, 4, 8, 16},
+		}, []string{"service", "team"}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnumring_direct_sends_total", Help: "Requests sent to backend servers, by service and order.",
+		}, []string{"service", "order"}),
+		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_waiting", Help: "Requests that wait for a backend server.",
+		}),
+		inbound: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_in_progress", Help: "Requests that have not been answered.",
+		}),
+		suspects: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_suspects", Help: "Requests that may take servers down.",
+		}),
+	}
+	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.waiting, m.inbound, m.suspects)
+	return m
+}
+
+func (m *metrics) state(waiting int, inbound int64, suspects int) {
+	m.waiting.Set(float64(waiting))
+	m.inbound.Set(float64(inbound))
+	m.suspects.Set(float64(suspects))
+}
+
+func (m *metrics) answered(service, team string, took clock.Millis) {
+	m.first.WithLabelValues(service, team).Observe(took.Duration().Seconds())
+}
+
+// Metrics returns the handler of the metrics interface.
+func (r *Router) Metrics() http.Handler {
+	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/direct/peers.go
@@ -0,0 +1,161 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/deadpeer"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gossip"
+)
+
+// message returns what the peers are told.
+func (r *Router) message() gossip.Message {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	servers, teams := r.intake.Report(now)
+	return gossip.Message{
+		Configuration: r.text.Version, Roster: r.roster.Revision(), Listed: r.listed,
+		Servers: servers, Teams: teams, Suspects: r.suspects.Entries(now),
+	}
+}
+
+// received takes what a peer tells, and asks it for what it has newer.
+func (r *Router) received(from netip.Addr, m gossip.Message) {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.intake.Merge(now, from.String(), m.Servers, m.Teams)
+	for _, e := range m.Suspects {
+		r.suspects.Merge(now, e)
+	}
+	newer := m.Configuration > r.text.Version || !r.listed && m.Listed && m.Roster > r.roster.Revision()
+	if newer && !r.asking {
+		r.asking = true
+		// The call is bounded by peerTimeout, and stops with the process.
+		go r.ask(from)
+	}
+}
+
+// Known is what a router holds, as it asks a peer for newer state.
+type Known struct {
+	Configuration int64
+	Roster        int64
+}
+
+// State is what a peer has newer; a part is empty where it has not.
+type State struct {
+	Configuration laburnumring.ConfigurationText
+	Servers       laburnumring.ServerList
+}
+
+// Peers is the service that routers offer each other.
+type Peers struct {
+	r *Router
+}
+
+// Newer returns what this router holds that is newer than what the caller knows.
+func (p *Peers) Newer(k Known, s *State) error {
+	p.r.mu.Lock()
+	defer p.r.mu.Unlock()
+	if p.r.text.Version > k.Configuration {
+		s.Configuration = p.r.text
+	}
+	if p.r.listed && p.r.roster.Revision() > k.Roster {
+		s.Servers = p.r.roster.List()
+	}
+	return nil
+}
+
+const (
+	// peerTimeout bounds one exchange with a peer.
+	peerTimeout = 1 * time.Second
+	// maxPeerConns bounds the peers that are answered at once.
+	maxPeerConns = 64
+)
+
+// ask takes what a peer has newer.
+func (r *Router) ask(from netip.Addr) {
+	defer func() {
+		r.mu.Lock()
+		r.asking = false
+		r.mu.Unlock()
+	}()
+	r.mu.Lock()
+	k := Known{Configuration: r.text.Version, Roster: r.roster.Revision()}
+	r.mu.Unlock()
+	s, err := askPeer(netip.AddrPortFrom(from, r.o.Address.Port()), k)
+	if err != nil {
+		// The next message of any peer makes another try.
+		r.o.Logger.Log(event.ConfigNotLeveled, "peer", from, "error", err)
+		return
+	}
+	r.o.Logger.Log(event.PeerAsked, "peer", from, "configuration", s.Configuration.Version,
+		"roster", s.Servers.Revision)
+	r.configure(s.Configuration, from.String())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.listed && r.roster.TakeFromPeer(s.Servers) {
+		r.serversChanged(from.String())
+	}
+}
+
+func askPeer(address netip.AddrPort, k Known) (State, error) {
+	conn, err := net.DialTimeout("tcp", address.String(), peerTimeout)
+	if err != nil {
+		return State{}, errorx.Decorate(err, "ask peer")
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.SetDeadline(time.Now().Add(peerTimeout)); err != nil {
+		return State{}, errorx.Decorate(err, "ask peer")
+	}
+	c := rpc.NewClient(conn)
+	defer func() { _ = c.Close() }()
+	var s State
+	return s, c.Call("Peers.Newer", k, &s)
+}
+
+// servePeers answers peers until ctx ends.
+func (r *Router) servePeers(ctx context.Context) error {
+	srv := rpc.NewServer()
+	if err := srv.Register(&Peers{r: r}); err != nil {
+		return errorx.Decorate(err, "serve peers")
+	}
+	lc := net.ListenConfig{Control: deadpeer.Control, KeepAliveConfig: deadpeer.KeepAlive()}
+	ln, err := lc.Listen(ctx, "tcp", r.o.Address.String())
+	if err != nil {
+		return errorx.Decorate(err, "listen for peers")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	room := make(chan struct{}, maxPeerConns)
+	for {
+		conn, err := ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			pause(ctx, retryPause)
+			continue
+		}
+		room <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-room }()
+			if conn.SetDeadline(time.Now().Add(peerTimeout)) == nil {
+				srv.ServeConn(conn)
+			}
+			_ = conn.Close()
+		})
+	}
+}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -19,6 +19,14 @@
 	ConfigHistoryKnown  = Event{2007, log.InfoLevel, "configuration history known again"}
 	ConfigSnapshot      = Event{2008, log.InfoLevel, "configuration snapshot appended"}
 	ConfigNotLeveled    = Event{2009, log.WarnLevel, "configuration not exchanged with a peer"}
+	ListUnreachable     = Event{2010, log.WarnLevel, "backend server list unreachable"}
+	ListReachable       = Event{2011, log.InfoLevel, "backend server list reachable"}
+	ServersChanged      = Event{2012, log.InfoLevel, "backend servers changed"}
+	PlatformRecordBad   = Event{2013, log.WarnLevel, "platform record ignored"}
+	PeerMessageBad      = Event{2014, log.WarnLevel, "peer message ignored"}
+	PeerAsked           = Event{2015, log.InfoLevel, "state taken from a peer"}
+	SettingsReloaded    = Event{1007, log.InfoLevel, "settings read again"}
+	LinesDropped        = Event{1008, log.WarnLevel, "log lines dropped"}
 	AgentReady          = Event{3001, log.InfoLevel, "agent ready"}
 	AgentSilent         = Event{3002, log.WarnLevel, "agent silent"}
 	AgentLeaving        = Event{3003, log.InfoLevel, "agent leaving"}
@@ -30,6 +38,12 @@
 	AnswerBroken        = Event{5002, log.WarnLevel, "answer stream broken"}
 	AttemptRetried      = Event{5003, log.InfoLevel, "request tried again"}
 	PoisonRefused       = Event{5004, log.WarnLevel, "request refused fleet-wide as poison"}
+	RequestPlaced       = Event{5005, log.InfoLevel, "request sent to backend server"}
+	RequestTurnedAway   = Event{5006, log.InfoLevel, "request refused"}
+	RequestEnded        = Event{5007, log.InfoLevel, "request ended"}
+	AttemptFailed       = Event{5008, log.InfoLevel, "backend server failed a request"}
+	ServerMisplaced     = Event{4006, log.WarnLevel, "another backend server has the address"}
+	ServerUnreachable   = Event{4007, log.WarnLevel, "backend server unreachable"}
 	RequestSuspected    = Event{4005, log.WarnLevel, "request was running when its backend server died"}
 	LimitMoved          = Event{8002, log.DebugLevel, "limit of requests inside the backend server moved"}
 	ShareParent         = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
@@ -55,6 +69,9 @@
 		ConfigurationLive, ConfigurationBad, LogUnreachable, LogReachable,
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotLeveled,
+		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerAsked,
+		SettingsReloaded, LinesDropped,
+		RequestPlaced, RequestTurnedAway, RequestEnded, AttemptFailed, ServerMisplaced, ServerUnreachable,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
--- /dev/null
+++ b/internal/fairshare/fairshare.go
@@ -0,0 +1,152 @@
+// Package fairshare counts what teams ask for and receive over the last seconds, fleet-wide, and tells the level up
+// to which each is owed service.
+package fairshare
+
+import (
+	"math"
+	"slices"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Options are the settings of a Ledger.
+type Options struct {
+	// Memory is the time constant with which past tokens are forgotten; two seconds when zero.
+	Memory clock.Millis
+	// PeerLife is how long a peer's report counts; 1.5 seconds when zero.
+	PeerLife clock.Millis
+}
+
+const (
+	// defaultMemory is half of the users' window for shares, as a decayed sum reaches back twice its constant.
+	defaultMemory = 2 * clock.Second
+	// defaultPeerLife is several periods of the routers' exchange, so that single losses do not show.
+	defaultPeerLife = 1500 * clock.Millis(1)
+)
+
+// Rates are a team's tokens per second.
+type Rates struct {
+	// Asked counts the tokens of all requests that came, Served those of requests that were sent to a server.
+	Asked  float64 `cbor:"1,keyasint"`
+	Served float64 `cbor:"2,keyasint"`
+}
+
+// tally is one team's decayed sums at this router.
+type tally struct {
+	rates Rates
+	// at is the time to which the rates are decayed.
+	at clock.Millis
+}
+
+// report is what a peer said last.
+type report struct {
+	teams map[string]Rates
+	at    clock.Millis
+}
+
+// Ledger holds the rates of this router's teams and of its peers. It is used by one goroutine at a time.
+type Ledger struct {
+	o Options
+	// own holds the teams that asked here.
+	own map[string]*tally
+	// peers holds the peers' last reports by peer.
+	peers map[string]report
+}
+
+// New returns a ledger without teams.
+func New(o Options) *Ledger {
+	if o.Memory == 0 {
+		o.Memory = defaultMemory
+	}
+	if o.PeerLife == 0 {
+		o.PeerLife = defaultPeerLife
+	}
+	return &Ledger{o: o, own: make(map[string]*tally), peers: make(map[string]report)}
+}
+
+// Ask counts tokens that team asked for.
+func (l *Ledger) Ask(now clock.Millis, team string, tokens int64) {
+	l.team(now, team).rates.Asked += l.rate(tokens)
+}
+
+// Serve counts tokens that team was served; negative ones take back what was not.
+func (l *Ledger) Serve(now clock.Millis, team string, tokens int64) {
+	t := l.team(now, team)
+	t.rates.Served = max(0, t.rates.Served+l.rate(tokens))
+}
+
+// Report returns this router's own rates.
+func (l *Ledger) Report(now clock.Millis) map[string]Rates {
+	out := make(map[string]Rates, len(l.own))
+	for name := range l.own {
+		out[name] = l.team(now, name).rates
+	}
+	return out
+}
+
+// Merge takes a peer's report in place of its former one.
+func (l *Ledger) Merge(now clock.Millis, peer string, teams map[string]Rates) {
+	l.peers[peer] = report{teams: teams, at: now}
+}
+
+// Team returns a team's fleet-wide rates.
+func (l *Ledger) Team(now clock.Millis, team string) Rates { return l.total(now)[team] }
+
+// Totals returns all teams' fleet-wide rates.
+func (l *Ledger) Totals(now clock.Millis) map[string]Rates { return l.total(now) }
+
+// Level returns the max-min share of capacity in tokens per second: teams that ask for less are owed all, the
+// others this much each. It is infinite when capacity suffices for all.
+func Level(capacity float64, teams map[string]Rates) float64 {
+	asked := make([]float64, 0, len(teams))
+	for _, r := range teams {
+		asked = append(asked, r.Asked)
+	}
+	slices.Sort(asked)
+	left := capacity
+	for i, a := range asked {
+		share := left / float64(len(asked)-i)
+		if a > share {
+			return share
+		}
+		left -= a
+	}
+	return math.Inf(1)
+}
+
+func (l *Ledger) total(now clock.Millis) map[string]Rates {
+	out := l.Report(now)
+	for peer, p := range l.peers {
+		if now-p.at > l.o.PeerLife {
+			delete(l.peers, peer)
+			continue
+		}
+		for name, r := range p.teams {
+			sum := out[name]
+			sum.Asked += r.Asked
+			sum.Served += r.Served
+			out[name] = sum
+		}
+	}
+	return out
+}
+
+// team returns the team's tally, decayed to now.
+func (l *Ledger) team(now clock.Millis, name string) *tally {
+	t, ok := l.own[name]
+	if !ok {
+		t = &tally{at: now}
+		l.own[name] = t
+	}
+	if now > t.at {
+		keep := math.Exp(-float64(now-t.at) / float64(l.o.Memory))
+		t.rates.Asked *= keep
+		t.rates.Served *= keep
+		t.at = now
+	}
+	return t
+}
+
+func (l *Ledger) rate(tokens int64) float64 {
+	return float64(tokens) * float64(clock.Second) / float64(l.o.Memory)
+}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,232 @@
+// Package gossip exchanges the routers' soft state: what each has at the backend servers, what its teams ask for,
+// and which versions it holds. Datagrams may be lost, as each one says everything anew.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/fairshare"
+	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Message is what a router tells its peers.
+type Message struct {
+	// Incarnation is unique to the run of the sender's process, Seq numbers its messages.
+	Incarnation string `cbor:"1,keyasint"`
+	Seq         int64  `cbor:"2,keyasint"`
+	// Peers are the IP addresses of the routers that the sender heard from lately.
+	Peers []netip.Addr `cbor:"3,keyasint"`
+	// Configuration and Roster are the versions that the sender holds; Listed says that it reads the platform's
+	// list itself.
+	Configuration int64 `cbor:"4,keyasint"`
+	Roster        int64 `cbor:"5,keyasint"`
+	Listed        bool  `cbor:"6,keyasint"`
+	// Servers and Teams are the sender's load and rates.
+	Servers map[string]intake.Load     `cbor:"7,keyasint"`
+	Teams   map[string]fairshare.Rates `cbor:"8,keyasint"`
+	// Suspects are the requests that may take servers down.
+	Suspects []suspect.Entry `cbor:"9,keyasint"`
+}
+
+// Options are the settings of an Exchange.
+type Options struct {
+	// Address is the IP address of this router and the port that all routers use.
+	Address netip.AddrPort
+	// Seeds are IP addresses of routers to begin with.
+	Seeds []netip.Addr
+	// Incarnation is unique to this run of the process.
+	Incarnation string
+	Clock       laburnumring.Clock
+	Logger      *event.Logger
+	// Message returns what to tell; Received takes what a peer tells.
+	Message  func() Message
+	Received func(from netip.Addr, m Message)
+}
+
+const (
+	// period is the time between messages; some requests arrive at each server in it.
+	period = 100 * time.Millisecond
+	// peerLife is how long after its last message a peer still gets messages, and seedPeriod the time between
+	// messages to a seed that is silent.
+	peerLife   = 10 * clock.Second
+	freshLife  = 2 * clock.Second
+	seedPeriod = 1 * clock.Second
+	maxMessage = 16 << 10
+	maxPeers   = 1024
+)
+
+// peer is a router that was heard of.
+type peer struct {
+	// heard is when its last message came; 0 before the first. sent is when it was last sent one.
+	heard       clock.Millis
+	sent        clock.Millis
+	incarnation string
+	seq         int64
+}
+
+// Exchange sends and receives messages.
+type Exchange struct {
+	o Options
+
+	mu sync.Mutex
+	// peers holds the routers that were heard of; seeds stay.
+	peers map[netip.Addr]*peer
+	seeds map[netip.Addr]bool
+	seq   int64
+}
+
+// New returns an exchange that does nothing until Run.
+func New(o Options) *Exchange {
+	x := &Exchange{o: o, peers: make(map[netip.Addr]*peer), seeds: make(map[netip.Addr]bool)}
+	for _, a := range o.Seeds {
+		if a != o.Address.Addr() {
+			x.seeds[a] = true
+			x.peers[a] = &peer{}
+		}
+	}
+	return x
+}
+
+// Run works until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(x.o.Address))
+	if err != nil {
+		return errorx.Decorate(err, "listen for peers")
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { x.receive(conn) })
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		x.send(conn)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+	}
+	err = conn.Close()
+	wg.Wait()
+	return err
+}
+
+// Peers returns the IP addresses of the routers heard from lately.
+func (x *Exchange) Peers() []netip.Addr {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.fresh(x.o.Clock.Now())
+}
+
+func (x *Exchange) fresh(now clock.Millis) []netip.Addr {
+	var out []netip.Addr
+	for a, p := range x.peers {
+		if p.heard != 0 && now-p.heard < freshLife {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// due returns the peers that get a message now.
+func (x *Exchange) due(now clock.Millis) []netip.Addr {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var out []netip.Addr
+	for a, p := range x.peers {
+		silent := p.heard == 0 || now-p.heard > freshLife
+		switch {
+		case silent && now-p.sent < seedPeriod:
+			continue
+		case silent && !x.seeds[a] && now-p.heard > peerLife:
+			delete(x.peers, a)
+			continue
+		}
+		p.sent = now
+		out = append(out, a)
+	}
+	return out
+}
+
+func (x *Exchange) send(conn *net.UDPConn) {
+	now := x.o.Clock.Now()
+	to := x.due(now)
+	if len(to) == 0 {
+		return
+	}
+	m := x.o.Message()
+	x.mu.Lock()
+	x.seq++
+	m.Seq = x.seq
+	m.Peers = x.fresh(now)
+	x.mu.Unlock()
+	m.Incarnation = x.o.Incarnation
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		x.o.Logger.Log(event.PeerMessageBad, "direction", "out", "error", err)
+		return
+	}
+	for _, a := range to {
+		// A datagram that cannot be sent is one that is lost; the next one follows.
+		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(a, x.o.Address.Port()))
+	}
+}
+
+func (x *Exchange) receive(conn *net.UDPConn) {
+	buf := make([]byte, maxMessage)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if isClosed(err) {
+				return
+			}
+			continue
+		}
+		var m Message
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
+			x.o.Logger.Log(event.PeerMessageBad, "direction", "in", "peer", from.Addr(), "error", err)
+			continue
+		}
+		if x.note(from.Addr().Unmap(), m) {
+			x.o.Received(from.Addr().Unmap(), m)
+		}
+	}
+}
+
+// note records that a message came and reports whether it is newer than the last one.
+func (x *Exchange) note(from netip.Addr, m Message) bool {
+	now := x.o.Clock.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if from == x.o.Address.Addr() || m.Incarnation == x.o.Incarnation {
+		return false
+	}
+	p, ok := x.peers[from]
+	if !ok {
+		p = &peer{}
+		x.peers[from] = p
+	}
+	if p.incarnation == m.Incarnation && m.Seq <= p.seq {
+		return false
+	}
+	p.heard, p.incarnation, p.seq = now, m.Incarnation, m.Seq
+	for _, a := range m.Peers {
+		if _, ok := x.peers[a]; !ok && a != x.o.Address.Addr() && len(x.peers) < maxPeers {
+			// Its first message makes it a peer of its own; until then it is tried for a while.
+			x.peers[a] = &peer{heard: now - freshLife}
+		}
+	}
+	return true
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/intake/choose.go
@@ -0,0 +1,287 @@
+package intake
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/routing"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Weights and bounds of the choice of a server.
+const (
+	// ownedTime and excessTime are the parts of a request's goal within which its first token must be expected,
+	// for a team within its share and for one beyond it.
+	ownedTime  = 0.9
+	excessTime = 0.5
+	// excessSlots is the part of an engine's slots that teams beyond their share may fill.
+	excessSlots = 0.85
+	// memoryFill is the part of an engine's memory that running requests may hold; the rest is for shared parts and
+	// for answers longer than expected.
+	memoryFill = 0.85
+	// spreadPenalty is how much more a shared part counts where it would be read once more.
+	spreadPenalty = 1.0
+	// placePenalty is the extra time to a server in another place, in milliseconds.
+	placePenalty = 2.0
+	// placeSlots is the extra load that a plain server in another place counts for, in slots.
+	placeSlots = 0.3
+	// queueSlots is how many requests beyond its slots a plain server gets: one is ready when a slot frees.
+	queueSlots = 1
+	// defaultSlots is for services that do not tell their slots.
+	defaultSlots = 16
+	// failurePenalty multiplies the load of a server that fails all requests, beside one that fails none.
+	failurePenalty = 8.0
+	// fairLead is by how much a team beyond its share may be ahead of the least served team that is kept waiting.
+	fairLead = 1.25
+	// lateTime is the part of its time after which a waiting request that will be late is refused.
+	lateTime = 0.15
+	// maxWaiting bounds the requests that wait for a service, for each of its servers.
+	maxWaiting = 64
+)
+
+// choice is a server with what its choice rests on.
+type choice struct {
+	s     *server
+	score float64
+	basis Basis
+}
+
+// decide sends or refuses a request, or returns false when it waits.
+func (c *Controller) decide(now clock.Millis, r Request, v view) (Decision, bool) {
+	if now >= r.Limit {
+		return refuse(r, "deadline", clock.Second), true
+	}
+	pool := c.pools[r.Service]
+	if len(pool) == 0 {
+		return refuse(r, "no_server", clock.Second), true
+	}
+	svc, _ := c.table.Service(r.Service)
+	if !svc.Engine {
+		return c.decidePlain(now, r, v, pool)
+	}
+	return c.decideEngine(now, r, v, pool, svc)
+}
+
+func refuse(r Request, reason string, after clock.Millis) Decision {
+	return Decision{Request: r.ID, Refusal: &RefusedError{Reason: reason, RetryAfter: after}}
+}
+
+// decidePlain spreads calls to servers with few slots, which refuse what they cannot queue, by the load that all
+// routers put on them.
+func (c *Controller) decidePlain(now clock.Millis, r Request, v view, pool []*server) (Decision, bool) {
+	best := choice{score: math.Inf(1)}
+	usual := usualLatency(pool)
+	for _, s := range pool {
+		l := v.loads[s.entry.ID]
+		slots := s.entry.Slots
+		if slots == 0 {
+			slots = defaultSlots
+		}
+		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) || l.Running >= slots+queueSlots {
+			continue
+		}
+		score := float64(l.Running+1) / float64(slots)
+		if s.entry.Place != c.o.Place {
+			score += placeSlots / float64(slots)
+		}
+		score *= 1 + failurePenalty*s.failures
+		if usual > 0 && s.latency > usual {
+			score *= s.latency / usual
+		}
+		if score < best.score {
+			best = choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
+		}
+	}
+	if best.s != nil {
+		return c.send(now, r, best, v), true
+	}
+	if c.waitingFor(r.Service) >= maxWaiting*len(pool) || now-r.Arrived > (r.Limit-r.Arrived)/2 {
+		return refuse(r, "servers_full", r.Goal), true
+	}
+	return Decision{}, false
+}
+
+// usualLatency returns the least latency of the servers; 0 when none is known.
+func usualLatency(pool []*server) float64 {
+	usual := 0.0
+	for _, s := range pool {
+		if s.latency > 0 && (usual == 0 || s.latency < usual) {
+			usual = s.latency
+		}
+	}
+	return usual
+}
+
+// decideEngine places a prompt where the least time passes until its first token. Under a load that exceeds the
+// engines, teams within their max-min share are placed while a goal can be met, and others only where that delays
+// nobody.
+func (c *Controller) decideEngine(
+	now clock.Millis, r Request, v view, pool []*server, svc routing.Service,
+) (Decision, bool) {
+	served := v.teams[r.Team].Served
+	excess := served > v.level
+	best, reachable := c.bestEngine(now, r, v, pool, svc)
+	best.basis.Served = int64(served)
+	if !math.IsInf(v.level, 1) {
+		best.basis.Level = int64(v.level)
+	}
+	waited := now - r.Arrived
+	late := float64(waited)+float64(best.basis.Expected) > ownedTime*float64(r.Goal)
+	if best.s != nil {
+		spare := float64(best.basis.Expected) <= excessTime*float64(r.Goal) &&
+			float64(best.basis.Running) < excessSlots*float64(engineSlots(svc, best.s))
+		switch {
+		case excess && spare && served <= fairLead*v.least:
+			return c.send(now, r, best, v), true
+		case !excess && (!late || spare):
+			return c.send(now, r, best, v), true
+		}
+	}
+	c.pressed[r.Team] = now
+	if excess {
+		return withBasis(refuse(r, "over_share", c.shareWait(v, r)), best.basis), true
+	}
+	if !reachable {
+		return refuse(r, "no_server", clock.Second), true
+	}
+	wait := c.queueWait(r.Service, len(pool))
+	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
+		return withBasis(refuse(r, "engines_full", clock.Millis(wait)+r.Goal), best.basis), true
+	}
+	return Decision{}, false
+}
+
+func withBasis(d Decision, b Basis) Decision {
+	d.Basis = b
+	return d
+}
+
+// bestEngine returns the engine with the least expected time to the first token among those with room; reachable
+// reports whether one can be tried at all.
+func (c *Controller) bestEngine(
+	now clock.Millis, r Request, v view, pool []*server, svc routing.Service,
+) (best choice, reachable bool) {
+	f := c.forecast(r.Service)
+	home := homeOf(r, pool)
+	best.score = math.Inf(1)
+	for _, s := range pool {
+		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) {
+			continue
+		}
+		reachable = true
+		l := v.loads[s.entry.ID]
+		fresh := s.fresh(now, r, s == home)
+		own := r.ownTokens()
+		if l.Running >= engineSlots(svc, s) ||
+			svc.Memory > 0 && l.Running > 0 && l.Memory+own > int64(memoryFill*float64(svc.Memory)) {
+			continue
+		}
+		expected := f.Predict(s.entry.ID, l.Queued+fresh)
+		score := expected
+		if again := fresh - own; again > 0 {
+			score += spreadPenalty * f.Slope() * float64(again)
+		}
+		if s.entry.Place != c.o.Place {
+			score += placePenalty
+		}
+		score += failurePenalty * s.failures * expected
+		if score < best.score {
+			best = choice{s: s, score: score, basis: Basis{
+				Expected: int64(expected), Queued: l.Queued, Fresh: fresh, Running: l.Running, PeerAge: v.peerAge,
+			}}
+		}
+	}
+	return best, reachable
+}
+
+func engineSlots(svc routing.Service, s *server) int {
+	for _, n := range []int{s.entry.Slots, svc.Slots} {
+		if n > 0 {
+			return n
+		}
+	}
+	return defaultSlots
+}
+
+// ownTokens returns the tokens of the prompt's last part, which no other request shares.
+func (r Request) ownTokens() int64 {
+	if len(r.Parts) == 0 {
+		return r.PromptTokens
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
+// homeOf returns the server where the prompt's largest shared part belongs, by rendezvous hashing, so that all
+// routers send the part to the same server; nil without a shared part.
+func homeOf(r Request, pool []*server) *server {
+	if len(r.Parts) < 2 {
+		return nil
+	}
+	shared := slices.MaxFunc(r.Parts[:len(r.Parts)-1], func(a, b laburnumring.PromptPart) int {
+		return int(a.Tokens - b.Tokens)
+	})
+	var home *server
+	var most uint64
+	for _, s := range pool {
+		if h := xxhash.Sum64String(shared.ID + "@" + s.entry.ID); home == nil || h > most {
+			home, most = s, h
+		}
+	}
+	return home
+}
+
+// send books a request at a server.
+func (c *Controller) send(now clock.Millis, r Request, ch choice, v view) Decision {
+	b := ch.basis
+	l := Load{Running: 1}
+	if c.engine(r.Service) {
+		l.Queued = b.Fresh
+		l.Memory = r.ownTokens() + r.OutputTokens
+		ch.s.keep(now, r)
+		c.ledger.Serve(now, r.Team, r.tokens())
+		rates := v.teams[r.Team]
+		rates.Served += float64(r.tokens()) / 2
+		v.teams[r.Team] = rates
+	}
+	ch.s.load = ch.s.load.plus(l)
+	v.loads[ch.s.entry.ID] = v.loads[ch.s.entry.ID].plus(l)
+	c.runs[r.ID] = &run{r: r, server: ch.s.entry.ID, load: l, ahead: b.Queued + b.Fresh, sent: now}
+	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
+}
+
+func (c *Controller) waitingFor(service string) int {
+	n := 0
+	for _, r := range c.waiting {
+		if r.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// queueWait returns the milliseconds in which the engines read the prompts that wait here.
+func (c *Controller) queueWait(service string, servers int) float64 {
+	tokens := int64(0)
+	for _, r := range c.waiting {
+		if r.Service == service {
+			tokens += r.ownTokens()
+		}
+	}
+	return float64(tokens) * c.forecast(service).Slope() / float64(servers)
+}
+
+// Bounds of the time after which a team beyond its share is told to come back.
+const (
+	minShareWait = 500 * clock.Millis(1)
+	maxShareWait = 8 * clock.Second
+)
+
+// shareWait returns when a team beyond its share is likely to be within it: the time in which its share covers
+// what it asks for in a second.
+func (c *Controller) shareWait(v view, r Request) clock.Millis {
+	over := v.teams[r.Team].Asked / v.level
+	return min(maxShareWait, max(minShareWait, clock.Millis(over*float64(clock.Second))))
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,312 @@
+// Package intake decides which backend server runs a request, which request waits, and which is refused. It holds
+// no socket, goroutine or clock.
+package intake
+
+import (
+	"math"
+	"slices"
+
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/fairshare"
+	"github.com/laburnumring/laburnumring/internal/forecast"
+	"github.com/laburnumring/laburnumring/internal/routing"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// Options are the settings of a Controller.
+type Options struct {
+	// Place is the name of the router's place; its servers are preferred a little.
+	Place string
+}
+
+// run is a request at a server.
+type run struct {
+	r      Request
+	server string
+	load   Load
+	// ahead is the prompt tokens that the server had to read up to the first token, and sent when it was sent.
+	ahead   int64
+	sent    clock.Millis
+	started bool
+}
+
+// peerLoad is what a peer said last of its work.
+type peerLoad struct {
+	servers map[string]Load
+	at      clock.Millis
+}
+
+// Controller holds the waiting and running requests of one router. It is used by one goroutine at a time.
+type Controller struct {
+	o      Options
+	ledger *fairshare.Ledger
+	// table is the configuration in force; nil before the first.
+	table *routing.Table
+	// servers holds the servers that may get work and those that still have some, by id; pools those that may get
+	// work, by service.
+	servers map[string]*server
+	pools   map[string][]*server
+	// forecasts holds the engines' times by service.
+	forecasts map[string]*forecast.Forecast
+	// runs holds the requests at servers, waiting those without one in the order of arrival.
+	runs    map[int64]*run
+	waiting []Request
+	// peers holds the peers' last reports.
+	peers map[string]peerLoad
+	// pressed is when a team was last refused or kept waiting.
+	pressed map[string]clock.Millis
+}
+
+// peerLife is how long a peer's report counts: several periods of the exchange.
+const peerLife = 1500 * clock.Millis(1)
+
+// New returns a controller without servers.
+func New(o Options) *Controller {
+	return &Controller{
+		o: o, ledger: fairshare.New(fairshare.Options{}),
+		servers: make(map[string]*server), pools: make(map[string][]*server),
+		forecasts: make(map[string]*forecast.Forecast), runs: make(map[int64]*run),
+		peers: make(map[string]peerLoad), pressed: make(map[string]clock.Millis),
+	}
+}
+
+// Configure puts a configuration in force.
+func (c *Controller) Configure(t *routing.Table) { c.table = t }
+
+// SetServers replaces the servers that may get work. Requests at others go on.
+func (c *Controller) SetServers(entries []laburnumring.ServerEntry) {
+	c.pools = make(map[string][]*server)
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.ID] = true
+		s, ok := c.servers[e.ID]
+		if !ok || s.entry.Born != e.Born || s.entry.Address != e.Address {
+			next := &server{kept: make(map[string]clock.Millis)}
+			if ok {
+				next.load = s.load
+			}
+			s = next
+			c.servers[e.ID] = s
+			c.forecast(e.Service).Forget(e.ID)
+		}
+		s.entry = e
+		c.pools[e.Service] = append(c.pools[e.Service], s)
+	}
+	for id, s := range c.servers {
+		if !listed[id] && s.load.Running == 0 {
+			delete(c.servers, id)
+		}
+	}
+}
+
+// Submit takes a new request. It returns false when the request waits.
+func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
+	if c.engine(r.Service) {
+		c.ledger.Ask(now, r.Team, r.tokens())
+	}
+	return c.Retry(now, r)
+}
+
+// Retry takes a request that was at a server and needs another. It returns false when the request waits.
+func (c *Controller) Retry(now clock.Millis, r Request) (Decision, bool) {
+	if d, ok := c.decide(now, r, c.view(now)); ok {
+		return d, true
+	}
+	c.waiting = append(c.waiting, r)
+	return Decision{}, false
+}
+
+// Poll returns the decisions on waiting requests that can be made now.
+func (c *Controller) Poll(now clock.Millis) []Decision {
+	if len(c.waiting) == 0 {
+		return nil
+	}
+	v := c.view(now)
+	// Teams that received least go first; among one team's requests, those that came first.
+	slices.SortStableFunc(c.waiting, func(a, b Request) int {
+		switch x, y := v.teams[a.Team].Served, v.teams[b.Team].Served; {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return int(a.Arrived - b.Arrived)
+	})
+	var out []Decision
+	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
+		d, ok := c.decide(now, r, v)
+		if ok {
+			out = append(out, d)
+		}
+		return ok
+	})
+	return out
+}
+
+// Waiting returns how many requests wait.
+func (c *Controller) Waiting() int { return len(c.waiting) }
+
+// Withdraw drops a waiting request.
+func (c *Controller) Withdraw(id int64) {
+	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool { return r.ID == id })
+}
+
+// Started records a request's first token or answer.
+func (c *Controller) Started(now clock.Millis, id int64) {
+	v, ok := c.runs[id]
+	if !ok || v.started {
+		return
+	}
+	v.started = true
+	s := c.servers[v.server]
+	s.load.Queued -= v.load.Queued
+	s.heard = now
+	s.succeeded()
+	if c.engine(v.r.Service) {
+		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
+	}
+}
+
+// Result says how a request's stay at a server ended.
+type Result int
+
+// The results.
+const (
+	// Whole means that the server gave a whole answer.
+	Whole Result = iota + 1
+	// Failed means that the server failed the request: no or a broken answer, or one that says so.
+	Failed
+	// NotRun means that the server did not take the request.
+	NotRun
+	// Unreachable means that no connection to the server could be made.
+	Unreachable
+	// Left means that the caller went away or its time was over.
+	Left
+)
+
+// Ended records the end of a request's stay at a server.
+func (c *Controller) Ended(now clock.Millis, id int64, res Result) {
+	v, ok := c.runs[id]
+	if !ok {
+		return
+	}
+	delete(c.runs, id)
+	s := c.servers[v.server]
+	s.load.Running--
+	s.load.Memory -= v.load.Memory
+	if !v.started {
+		s.load.Queued -= v.load.Queued
+	}
+	c.judge(now, s, v, res)
+	if s.load.Running == 0 && !slices.Contains(c.pools[s.entry.Service], s) {
+		delete(c.servers, v.server)
+	}
+}
+
+// Unreachable records that no connection to a server can be made.
+func (c *Controller) Unreachable(now clock.Millis, id string) {
+	if s, ok := c.servers[id]; ok {
+		s.block(now)
+		clear(s.kept)
+	}
+}
+
+func (c *Controller) judge(now clock.Millis, s *server, v *run, res Result) {
+	switch res {
+	case Whole:
+		s.succeeded()
+		if !c.engine(v.r.Service) {
+			took := float64(now - v.sent)
+			if s.latency == 0 {
+				s.latency = took
+			}
+			s.latency += latencyWeight * (took - s.latency)
+		}
+	case Failed:
+		s.failed()
+	case Unreachable:
+		c.Unreachable(now, v.server)
+	case NotRun, Left:
+	}
+	if !v.started && res != Whole && c.engine(v.r.Service) {
+		c.ledger.Serve(now, v.r.Team, -v.r.tokens())
+	}
+}
+
+// Report returns what this router has at each server, and its teams' rates.
+func (c *Controller) Report(now clock.Millis) (map[string]Load, map[string]fairshare.Rates) {
+	out := make(map[string]Load)
+	for id, s := range c.servers {
+		if s.load.Running > 0 {
+			out[id] = s.load
+		}
+	}
+	return out, c.ledger.Report(now)
+}
+
+// Merge takes a peer's report in place of its former one.
+func (c *Controller) Merge(now clock.Millis, peer string, servers map[string]Load, teams map[string]fairshare.Rates) {
+	c.peers[peer] = peerLoad{servers: servers, at: now}
+	c.ledger.Merge(now, peer, teams)
+}
+
+// view is what the decisions of one moment have in common.
+type view struct {
+	// loads holds all routers' load of each server.
+	loads map[string]Load
+	// teams holds the teams' rates, and level the max-min share; infinite when there is enough for all.
+	teams map[string]fairshare.Rates
+	level float64
+	// least is the least served rate of the teams that were refused or kept waiting lately; infinite without one.
+	least   float64
+	peerAge clock.Millis
+}
+
+// pressLife is how long a refused team holds others to its own rate; the users' fairness rule looks at each second.
+const pressLife = 1 * clock.Second
+
+func (c *Controller) view(now clock.Millis) view {
+	v := view{loads: make(map[string]Load, len(c.servers)), teams: c.ledger.Totals(now), level: math.Inf(1)}
+	for id, s := range c.servers {
+		v.loads[id] = s.load
+	}
+	for peer, p := range c.peers {
+		if now-p.at > peerLife {
+			delete(c.peers, peer)
+			continue
+		}
+		v.peerAge = max(v.peerAge, now-p.at)
+		for id, l := range p.servers {
+			v.loads[id] = v.loads[id].plus(l)
+		}
+	}
+	if c.table != nil && c.table.Limits().TokensPerSecond > 0 {
+		v.level = fairshare.Level(c.table.Limits().TokensPerSecond, v.teams)
+	}
+	v.least = math.Inf(1)
+	for team, at := range c.pressed {
+		if now-at > pressLife {
+			delete(c.pressed, team)
+			continue
+		}
+		v.least = min(v.least, v.teams[team].Served)
+	}
+	return v
+}
+
+func (c *Controller) engine(service string) bool {
+	if c.table == nil {
+		return false
+	}
+	s, _ := c.table.Service(service)
+	return s.Engine
+}
+
+func (c *Controller) forecast(service string) *forecast.Forecast {
+	f, ok := c.forecasts[service]
+	if !ok {
+		f = forecast.New()
+		c.forecasts[service] = f
+	}
+	return f
+}
