intake: Share engines by a level that follows their strain, and know returning callers

Late answers were almost all callers that had been refused and came back; they used up their team's share. Shared parts were read again on engines other than their home.

Ruled out: slow engines: of 10,000 logged first tokens the median lay within 10 ms of what was expected, and 1 in 100 over its goal.

Change: the max-min level is over the engines' throughput as their expected times show it, one factor for all routers; what a team received in idle times is forgiven; a refused request is known when it comes back, at any router, and goes after those that can be on time; a shared part has its home by the last shared part and moves only when that saves four times its own time.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/eventstream"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/upstream"
@@ -274,6 +275,7 @@
 	defer buffers.Put(buf)
 	out := http.NewResponseController(c.w)
 	c.events.Restart()
+	var last clock.Millis
 	for {
 		n, err := resp.Body.Read(buf[:])
 		whole := c.events.Feed(buf[:n])
@@ -281,7 +283,7 @@
 			whole = append(whole, c.events.Rest()...)
 		}
 		if len(whole) > 0 || errors.Is(err, io.EOF) {
-			r.started(c)
+			last = r.progressed(c, whole, last)
 			if werr := c.pass(out, resp, whole); werr != nil {
 				_ = conn.Close()
 				return c.left(werr)
@@ -332,6 +334,19 @@
 	}
 }
 
+// progressed books events of a stream that came after others at last, 0 before the first, and returns the time.
+func (r *Router) progressed(c *call, events []byte, last clock.Millis) clock.Millis {
+	if last == 0 {
+		r.started(c)
+		return r.o.Clock.Now()
+	}
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.intake.Progress(c.seq, eventstream.Count(events), now-last)
+	return now
+}
+
 // started books the answer's first bytes.
 func (r *Router) started(c *call) {
 	now := r.o.Clock.Now()
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -22,10 +22,9 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	servers, teams := r.intake.Report(now)
 	return gossip.Message{
 		Configuration: r.text.Version, Roster: r.roster.Revision(), Listed: r.listed,
-		Servers: servers, Teams: teams, Suspects: r.suspects.Entries(now),
+		Work: r.intake.Report(now), Suspects: r.suspects.Entries(now),
 	}
 }
 
@@ -34,7 +33,7 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.intake.Merge(now, from.String(), m.Servers, m.Teams)
+	r.intake.Merge(now, from.String(), m.Work)
 	for _, e := range m.Suspects {
 		r.suspects.Merge(now, e)
 	}
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -52,3 +52,6 @@
 		}
 	}
 }
+
+// Count returns how many events end in p.
+func Count(p []byte) int { return bytes.Count(p, []byte("\n\n")) + bytes.Count(p, []byte("\n\r\n")) }
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -26,7 +26,8 @@
 
 // Rates are a team's tokens per second.
 type Rates struct {
-	// Asked counts the tokens of all requests that came, Served those of requests that were sent to a server.
+	// Asked counts the tokens of all requests that came, Served those of requests that were sent to a server, up to
+	// what is held against the team.
 	Asked  float64 `cbor:"1,keyasint"`
 	Served float64 `cbor:"2,keyasint"`
 }
@@ -75,6 +76,17 @@
 	t.rates.Served = max(0, t.rates.Served+l.rate(tokens))
 }
 
+// Forgive lowers what this router served to teams that received more than limit fleet-wide, each router in
+// proportion, so that what they received in idle times is not held against them for long. Teams are the fleet-wide
+// rates.
+func (l *Ledger) Forgive(now clock.Millis, limit float64, teams map[string]Rates) {
+	for name, total := range teams {
+		if _, ok := l.own[name]; ok && total.Served > limit {
+			l.team(now, name).rates.Served *= limit / total.Served
+		}
+	}
+}
+
 // Report returns this router's own rates.
 func (l *Ledger) Report(now clock.Millis) map[string]Rates {
 	out := make(map[string]Rates, len(l.own))
@@ -89,12 +101,6 @@
 	l.peers[peer] = report{teams: teams, at: now}
 }
 
-// Team returns a team's fleet-wide rates.
-func (l *Ledger) Team(now clock.Millis, team string) Rates { return l.total(now)[team] }
-
-// Totals returns all teams' fleet-wide rates.
-func (l *Ledger) Totals(now clock.Millis) map[string]Rates { return l.total(now) }
-
 // Level returns the max-min share of capacity in tokens per second: teams that ask for less are owed all, the
 // others this much each. It is infinite when capacity suffices for all.
 func Level(capacity float64, teams map[string]Rates) float64 {
@@ -114,7 +120,8 @@
 	return math.Inf(1)
 }
 
-func (l *Ledger) total(now clock.Millis) map[string]Rates {
+// Totals returns all teams' fleet-wide rates.
+func (l *Ledger) Totals(now clock.Millis) map[string]Rates {
 	out := l.Report(now)
 	for peer, p := range l.peers {
 		if now-p.at > l.o.PeerLife {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,7 +15,6 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
-	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -33,9 +32,8 @@
 	Configuration int64 `cbor:"4,keyasint"`
 	Roster        int64 `cbor:"5,keyasint"`
 	Listed        bool  `cbor:"6,keyasint"`
-	// Servers and Teams are the sender's load and rates.
-	Servers map[string]intake.Load     `cbor:"7,keyasint"`
-	Teams   map[string]fairshare.Rates `cbor:"8,keyasint"`
+	// Work is the sender's load and rates.
+	Work intake.Report `cbor:"7,keyasint"`
 	// Suspects are the requests that may take servers down.
 	Suspects []suspect.Entry `cbor:"9,keyasint"`
 }
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -6,24 +6,25 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // Weights and bounds of the choice of a server.
 const (
-	// ownedTime and excessTime are the parts of a request's goal within which its first token must be expected,
-	// for a team within its share and for one beyond it.
-	ownedTime  = 0.9
-	excessTime = 0.5
-	// excessSlots is the part of an engine's slots that teams beyond their share may fill.
-	excessSlots = 0.85
+	// goalTime is the part of a request's goal within which its first token must be expected, and spareTime that for
+	// a request which will be late in any case.
+	goalTime  = 0.9
+	spareTime = 0.5
+	// returnedShare is the part of its share up to which a team's returned callers are served.
+	returnedShare = 0.8
+	// spareSlots is the part of an engine's slots that late requests may fill.
+	spareSlots = 0.85
 	// memoryFill is the part of an engine's memory that running requests may hold; the rest is for shared parts and
 	// for answers longer than expected.
 	memoryFill = 0.85
 	// spreadPenalty is how much more a shared part counts where it would be read once more.
-	spreadPenalty = 1.0
+	spreadPenalty = 4.0
 	// placePenalty is the extra time to a server in another place, in milliseconds.
 	placePenalty = 2.0
 	// placeSlots is the extra load that a plain server in another place counts for, in slots.
@@ -34,8 +35,6 @@
 	defaultSlots = 16
 	// failurePenalty multiplies the load of a server that fails all requests, beside one that fails none.
 	failurePenalty = 8.0
-	// fairLead is by how much a team beyond its share may be ahead of the least served team that is kept waiting.
-	fairLead = 1.25
 	// lateTime is the part of its time after which a waiting request that will be late is refused.
 	lateTime = 0.15
 	// maxWaiting bounds the requests that wait for a service, for each of its servers.
@@ -50,7 +49,7 @@
 }
 
 // decide sends or refuses a request, or returns false when it waits.
-func (c *Controller) decide(now clock.Millis, r Request, v view) (Decision, bool) {
+func (c *Controller) decide(now clock.Millis, r Request, v *view) (Decision, bool) {
 	if now >= r.Limit {
 		return refuse(r, "deadline", clock.Second), true
 	}
@@ -71,7 +70,7 @@
 
 // decidePlain spreads calls to servers with few slots, which refuse what they cannot queue, by the load that all
 // routers put on them.
-func (c *Controller) decidePlain(now clock.Millis, r Request, v view, pool []*server) (Decision, bool) {
+func (c *Controller) decidePlain(now clock.Millis, r Request, v *view, pool []*server) (Decision, bool) {
 	best := choice{score: math.Inf(1)}
 	usual := usualLatency(pool)
 	for _, s := range pool {
@@ -119,30 +118,31 @@
 // engines, teams within their max-min share are placed while a goal can be met, and others only where that delays
 // nobody.
 func (c *Controller) decideEngine(
-	now clock.Millis, r Request, v view, pool []*server, svc routing.Service,
+	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) (Decision, bool) {
+	level := c.level(now, v, r.Service)
 	served := v.teams[r.Team].Served
-	excess := served > v.level
 	best, reachable := c.bestEngine(now, r, v, pool, svc)
 	best.basis.Served = int64(served)
-	if !math.IsInf(v.level, 1) {
-		best.basis.Level = int64(v.level)
+	if !math.IsInf(level, 1) {
+		best.basis.Level = int64(level)
 	}
+	if best.s != nil && r.Goal > 0 {
+		c.supply(r.Service).observe(now, float64(best.basis.Expected)/float64(r.Goal),
+			best.end(r, svc)/float64(r.Limit-r.Arrived), c.othersSupply(r.Service))
+	}
+	if r.returned() {
+		// Requests that can still be on time go first.
+		level *= returnedShare
+	}
+	excess := served > level
 	waited := now - r.Arrived
-	late := float64(waited)+float64(best.basis.Expected) > ownedTime*float64(r.Goal)
-	if best.s != nil {
-		spare := float64(best.basis.Expected) <= excessTime*float64(r.Goal) &&
-			float64(best.basis.Running) < excessSlots*float64(engineSlots(svc, best.s))
-		switch {
-		case excess && spare && served <= fairLead*v.least:
-			return c.send(now, r, best, v), true
-		case !excess && (!late || spare):
-			return c.send(now, r, best, v), true
-		}
+	late := float64(now-r.asked)+float64(best.basis.Expected) > goalTime*float64(r.Goal)
+	if best.s != nil && !excess && (!late || spare(r, best, svc)) {
+		return c.send(now, r, best, v), true
 	}
-	c.pressed[r.Team] = now
 	if excess {
-		return withBasis(refuse(r, "over_share", c.shareWait(v, r)), best.basis), true
+		return withBasis(refuse(r, "over_share", c.shareWait(v, r, level)), best.basis), true
 	}
 	if !reachable {
 		return refuse(r, "no_server", clock.Second), true
@@ -154,6 +154,17 @@
 	return Decision{}, false
 }
 
+// end returns the milliseconds to the whole answer.
+func (ch choice) end(r Request, svc routing.Service) float64 {
+	return float64(ch.basis.Expected) + ch.s.pace*float64(r.OutputTokens)/float64(max(1, svc.EventTokens))
+}
+
+// spare reports whether an engine would begin with a request so soon that it delays little else.
+func spare(r Request, ch choice, svc routing.Service) bool {
+	return float64(ch.basis.Expected) <= spareTime*float64(r.Goal) &&
+		float64(ch.basis.Running) < spareSlots*float64(engineSlots(svc, ch.s))
+}
+
 func withBasis(d Decision, b Basis) Decision {
 	d.Basis = b
 	return d
@@ -162,7 +173,7 @@
 // bestEngine returns the engine with the least expected time to the first token among those with room; reachable
 // reports whether one can be tried at all.
 func (c *Controller) bestEngine(
-	now clock.Millis, r Request, v view, pool []*server, svc routing.Service,
+	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) (best choice, reachable bool) {
 	f := c.forecast(r.Service)
 	home := homeOf(r, pool)
@@ -214,15 +225,14 @@
 	return r.Parts[len(r.Parts)-1].Tokens
 }
 
-// homeOf returns the server where the prompt's largest shared part belongs, by rendezvous hashing, so that all
-// routers send the part to the same server; nil without a shared part.
+// homeOf returns the server where the prompt's last shared part belongs, by rendezvous hashing, so that all routers
+// send the part to the same server; nil without a shared part. The parts before it are shared by many prompts and are
+// soon kept everywhere.
 func homeOf(r Request, pool []*server) *server {
 	if len(r.Parts) < 2 {
 		return nil
 	}
-	shared := slices.MaxFunc(r.Parts[:len(r.Parts)-1], func(a, b laburnumring.PromptPart) int {
-		return int(a.Tokens - b.Tokens)
-	})
+	shared := r.Parts[len(r.Parts)-2]
 	var home *server
 	var most uint64
 	for _, s := range pool {
@@ -234,7 +244,7 @@
 }
 
 // send books a request at a server.
-func (c *Controller) send(now clock.Millis, r Request, ch choice, v view) Decision {
+func (c *Controller) send(now clock.Millis, r Request, ch choice, v *view) Decision {
 	b := ch.basis
 	l := Load{Running: 1}
 	if c.engine(r.Service) {
@@ -242,9 +252,7 @@
 		l.Memory = r.ownTokens() + r.OutputTokens
 		ch.s.keep(now, r)
 		c.ledger.Serve(now, r.Team, r.tokens())
-		rates := v.teams[r.Team]
-		rates.Served += float64(r.tokens()) / 2
-		v.teams[r.Team] = rates
+		v.teams = c.ledger.Totals(now)
 	}
 	ch.s.load = ch.s.load.plus(l)
 	v.loads[ch.s.entry.ID] = v.loads[ch.s.entry.ID].plus(l)
@@ -281,7 +289,7 @@
 
 // shareWait returns when a team beyond its share is likely to be within it: the time in which its share covers
 // what it asks for in a second.
-func (c *Controller) shareWait(v view, r Request) clock.Millis {
-	over := v.teams[r.Team].Asked / v.level
+func (c *Controller) shareWait(v *view, r Request, level float64) clock.Millis {
+	over := v.teams[r.Team].Asked / level
 	return min(maxShareWait, max(minShareWait, clock.Millis(over*float64(clock.Second))))
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,8 +32,19 @@
 
 // peerLoad is what a peer said last of its work.
 type peerLoad struct {
-	servers map[string]Load
-	at      clock.Millis
+	r  Report
+	at clock.Millis
+}
+
+// Report is what a router tells the others of its work.
+type Report struct {
+	// Servers is what the router has at each server, and Teams its teams' rates.
+	Servers map[string]Load            `cbor:"1,keyasint"`
+	Teams   map[string]fairshare.Rates `cbor:"2,keyasint"`
+	// Supplies holds, by service, by how much the engines give more than the configured throughput.
+	Supplies map[string]float64 `cbor:"3,keyasint"`
+	// Refused holds the fingerprints of the requests that the router refused just now.
+	Refused []uint64 `cbor:"4,keyasint"`
 }
 
 // Controller holds the waiting and running requests of one router. It is used by one goroutine at a time.
@@ -48,13 +59,15 @@
 	pools   map[string][]*server
 	// forecasts holds the engines' times by service.
 	forecasts map[string]*forecast.Forecast
+	// supplies holds the engines' throughput by service.
+	supplies map[string]*supply
 	// runs holds the requests at servers, waiting those without one in the order of arrival.
 	runs    map[int64]*run
 	waiting []Request
+	// returns knows who was refused lately.
+	returns returns
 	// peers holds the peers' last reports.
 	peers map[string]peerLoad
-	// pressed is when a team was last refused or kept waiting.
-	pressed map[string]clock.Millis
 }
 
 // peerLife is how long a peer's report counts: several periods of the exchange.
@@ -66,7 +79,8 @@
 		o: o, ledger: fairshare.New(fairshare.Options{}),
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), runs: make(map[int64]*run),
-		peers: make(map[string]peerLoad), pressed: make(map[string]clock.Millis),
+		supplies: make(map[string]*supply), returns: returns{refused: make(map[uint64]clock.Millis)},
+		peers: make(map[string]peerLoad),
 	}
 }
 
@@ -101,21 +115,38 @@
 
 // Submit takes a new request. It returns false when the request waits.
 func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
-	if c.engine(r.Service) {
+	r.asked = r.Arrived
+	if at, ok := c.returns.first(now, r.Fingerprint); ok {
+		r.asked = min(at, r.Arrived-1)
+	}
+	if c.engine(r.Service) && !r.returned() {
 		c.ledger.Ask(now, r.Team, r.tokens())
 	}
-	return c.Retry(now, r)
+	return c.consider(now, r)
 }
 
 // Retry takes a request that was at a server and needs another. It returns false when the request waits.
 func (c *Controller) Retry(now clock.Millis, r Request) (Decision, bool) {
+	r.asked = r.Arrived
+	return c.consider(now, r)
+}
+
+// consider decides on a request or lets it wait.
+func (c *Controller) consider(now clock.Millis, r Request) (Decision, bool) {
 	if d, ok := c.decide(now, r, c.view(now)); ok {
+		c.noteRefusal(now, r, d)
 		return d, true
 	}
 	c.waiting = append(c.waiting, r)
 	return Decision{}, false
 }
 
+func (c *Controller) noteRefusal(now clock.Millis, r Request, d Decision) {
+	if d.Refusal != nil && c.engine(r.Service) {
+		c.returns.note(now, r.Fingerprint)
+	}
+}
+
 // Poll returns the decisions on waiting requests that can be made now.
 func (c *Controller) Poll(now clock.Millis) []Decision {
 	if len(c.waiting) == 0 {
@@ -136,6 +167,7 @@
 	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
 		d, ok := c.decide(now, r, v)
 		if ok {
+			c.noteRefusal(now, r, d)
 			out = append(out, d)
 		}
 		return ok
@@ -233,40 +265,73 @@
 	}
 }
 
-// Report returns what this router has at each server, and its teams' rates.
-func (c *Controller) Report(now clock.Millis) (map[string]Load, map[string]fairshare.Rates) {
-	out := make(map[string]Load)
+// Progress records that a stream's next events came, after the given time since those before.
+func (c *Controller) Progress(id int64, events int, took clock.Millis) {
+	v, ok := c.runs[id]
+	if !ok || events == 0 {
+		return
+	}
+	s := c.servers[v.server]
+	pause := float64(took) / float64(events)
+	if s.pace == 0 {
+		s.pace = pause
+	}
+	s.pace += paceWeight * float64(events) * (pause - s.pace)
+}
+
+// Report returns what the other routers are to know.
+func (c *Controller) Report(now clock.Millis) Report {
+	out := Report{
+		Servers: make(map[string]Load), Teams: c.ledger.Report(now), Supplies: make(map[string]float64),
+		Refused: c.returns.news(now),
+	}
 	for id, s := range c.servers {
 		if s.load.Running > 0 {
-			out[id] = s.load
+			out.Servers[id] = s.load
+		}
+	}
+	for service, s := range c.supplies {
+		if s.factor > 0 {
+			out.Supplies[service] = s.factor
 		}
 	}
-	return out, c.ledger.Report(now)
+	return out
 }
 
 // Merge takes a peer's report in place of its former one.
-func (c *Controller) Merge(now clock.Millis, peer string, servers map[string]Load, teams map[string]fairshare.Rates) {
-	c.peers[peer] = peerLoad{servers: servers, at: now}
-	c.ledger.Merge(now, peer, teams)
+func (c *Controller) Merge(now clock.Millis, peer string, r Report) {
+	for _, f := range r.Refused {
+		c.returns.learn(now, f)
+	}
+	r.Refused = nil
+	c.peers[peer] = peerLoad{r: r, at: now}
+	c.ledger.Merge(now, peer, r.Teams)
+}
+
+// othersSupply returns the mean factor of the other routers; 0 when none told one.
+func (c *Controller) othersSupply(service string) float64 {
+	sum, n := 0.0, 0
+	for _, p := range c.peers {
+		if f, ok := p.r.Supplies[service]; ok {
+			sum += f
+			n++
+		}
+	}
+	return sum / float64(max(1, n))
 }
 
 // view is what the decisions of one moment have in common.
 type view struct {
 	// loads holds all routers' load of each server.
 	loads map[string]Load
-	// teams holds the teams' rates, and level the max-min share; infinite when there is enough for all.
-	teams map[string]fairshare.Rates
-	level float64
-	// least is the least served rate of the teams that were refused or kept waiting lately; infinite without one.
-	least   float64
+	// teams holds the teams' rates, and levels the max-min share by service; infinite when there is enough for all.
+	teams   map[string]fairshare.Rates
+	levels  map[string]float64
 	peerAge clock.Millis
 }
 
-// pressLife is how long a refused team holds others to its own rate; the users' fairness rule looks at each second.
-const pressLife = 1 * clock.Second
-
-func (c *Controller) view(now clock.Millis) view {
-	v := view{loads: make(map[string]Load, len(c.servers)), teams: c.ledger.Totals(now), level: math.Inf(1)}
+func (c *Controller) view(now clock.Millis) *view {
+	v := &view{loads: make(map[string]Load, len(c.servers)), teams: c.ledger.Totals(now), levels: make(map[string]float64)}
 	for id, s := range c.servers {
 		v.loads[id] = s.load
 	}
@@ -276,22 +341,41 @@
 			continue
 		}
 		v.peerAge = max(v.peerAge, now-p.at)
-		for id, l := range p.servers {
+		for id, l := range p.r.Servers {
 			v.loads[id] = v.loads[id].plus(l)
 		}
 	}
-	if c.table != nil && c.table.Limits().TokensPerSecond > 0 {
-		v.level = fairshare.Level(c.table.Limits().TokensPerSecond, v.teams)
+	return v
+}
+
+// level returns the max-min share of a service's engines. What a team received while there was enough for all is
+// held against it up to a little more than the share.
+func (c *Controller) level(now clock.Millis, v *view, service string) float64 {
+	if l, ok := v.levels[service]; ok {
+		return l
+	}
+	l := math.Inf(1)
+	if t := c.table.Limits().TokensPerSecond; t > 0 {
+		l = fairshare.Level(c.supply(service).times(t), v.teams)
 	}
-	v.least = math.Inf(1)
-	for team, at := range c.pressed {
-		if now-at > pressLife {
-			delete(c.pressed, team)
-			continue
-		}
-		v.least = min(v.least, v.teams[team].Served)
+	if !math.IsInf(l, 1) {
+		c.ledger.Forgive(now, maxDebt*l, v.teams)
+		v.teams = c.ledger.Totals(now)
 	}
-	return v
+	v.levels[service] = l
+	return l
+}
+
+// maxDebt is the most that is held against a team, as a part of its share.
+const maxDebt = 1.3
+
+func (c *Controller) supply(service string) *supply {
+	s, ok := c.supplies[service]
+	if !ok {
+		s = &supply{}
+		c.supplies[service] = s
+	}
+	return s
 }
 
 func (c *Controller) engine(service string) bool {
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -24,10 +24,17 @@
 	Goal    clock.Millis
 	// Limit is when the request ends in any case.
 	Limit clock.Millis
+	// Fingerprint identifies the request's content, however often its caller sends it.
+	Fingerprint uint64
 	// Tried holds the servers that got the request already.
 	Tried []string
+	// asked is when the caller first asked: before Arrived for a caller that was refused and came back.
+	asked clock.Millis
 }
 
+// returned reports whether the caller was refused and came back.
+func (r Request) returned() bool { return r.asked < r.Arrived }
+
 // tokens is what the request counts in its team's share: generated tokens count twice, as the platform's figure
 // for the engines' capacity has it.
 func (r Request) tokens() int64 { return r.PromptTokens + 2*r.OutputTokens }
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -28,6 +28,8 @@
 	kept map[string]clock.Millis
 	// failures is the decayed part of attempts that the server failed, 0 to 1.
 	failures float64
+	// pace is the decayed time between two events of a stream, in milliseconds; 0 before the first.
+	pace float64
 	// latency is the decayed time of plain calls, in milliseconds; 0 before the first.
 	latency float64
 	// blockedUntil is until when the server gets nothing, and backoff how long the next block lasts.
@@ -46,8 +48,10 @@
 	// failureWeight is the weight of one attempt in the failures.
 	failureWeight = 0.1
 	latencyWeight = 0.1
-	minBackoff    = 250 * clock.Millis(1)
-	maxBackoff    = 2 * clock.Second
+	// paceWeight is the weight of one event; at each server dozens come in a step.
+	paceWeight = 0.02
+	minBackoff = 250 * clock.Millis(1)
+	maxBackoff = 2 * clock.Second
 )
 
 // fresh returns the prompt tokens that the server has to read: those from the first part on that it does not keep.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -23,6 +23,8 @@
 	Slots int
 	// Memory is how many tokens fit into an engine; 0 when not said.
 	Memory int64
+	// EventTokens is how many tokens a stream's event holds; 0 when not said.
+	EventTokens int
 }
 
 // Team is a team with the keys that prove it.
