direct: Bound what a flood at one router costs it

Change: the collector's target follows the rate of requests; bodies' memory is used again; log lines are queued, bounded and written in batches; a refusal is logged once; from 40 in 100 of the descriptors on answers end their connections. The last shared part's home is left only where that saves eight times its time; a prompt too long for its goal is sent where little is queued; the throughput's factor begins at the peers'.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -19,8 +19,10 @@
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
 	"github.com/laburnumring/laburnumring/internal/direct"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gcpace"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/incarnation"
+	"github.com/laburnumring/laburnumring/internal/logqueue"
 	"github.com/laburnumring/laburnumring/internal/retrycap"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/platform"
@@ -28,10 +30,21 @@
 
 // Settings of a router on the platform.
 const (
-	// garbagePercent trades processor time, which is cheap there, for memory, which is dear.
-	garbagePercent = 40
+	// calmGarbage and busyGarbage are the collector's targets in percent: processor time is cheap there and memory
+	// dear, until requests come faster than a third of a core can take with frequent collections.
+	calmGarbage = 40
+	busyGarbage = 200
+	// busyRate is in requests a second.
+	busyRate = 350
 	// memoryPart is the part of the memory limit above which garbage is collected at any cost.
 	memoryPart = 0.8
+	// closeTimeout bounds the end of what is still open when the router has waited for its requests: the process must
+	// end before the platform kills it.
+	closeTimeout = 150 * time.Millisecond
+	// idleTimeout is over the time after which today's callers use a connection no more.
+	idleTimeout = 20 * time.Second
+	// softConns is the part of the file limit from which on callers' connections are not kept.
+	softConns = 0.4
 	// retryParts is among how many routers the retry budget is divided: twice those of the smallest site, so that
 	// added VMs and restarts stay within it.
 	retryParts = 10
@@ -48,13 +61,17 @@
 		if err != nil {
 			return rejected(env, "router", err)
 		}
-		debug.SetGCPercent(garbagePercent)
 		if s.MemoryBytes > 0 {
 			debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryBytes)))
 		}
-		logger := event.NewLogger(env.stdout, "logfmt", "router")
+		lines := logqueue.New(env.stdout, logqueue.Options{})
+		defer lines.Close()
+		logger := event.NewLogger(lines, "logfmt", "router")
+		lines.SetDropped(func(n int64) { logger.Log(event.LinesDropped, "lines", n) })
 		go reloadOnHangup(ctx, logger, *file)
-		return servePlatform(ctx, s, newDirect(s, logger))
+		r := newDirect(s, logger)
+		go gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
+		return servePlatform(ctx, s, r)
 	}
 }
 
@@ -95,10 +112,14 @@
 		return errorx.Decorate(err, "listen for callers")
 	}
 	return httpserve.Serve(ctx, r.Run,
-		httpserve.Listener{Net: callers, Handler: r.Handler()},
-		httpserve.Listener{Address: s.Ready.String(), Handler: ready},
+		httpserve.Listener{
+			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
+			SoftConns: int(softConns * float64(s.MaxFiles)),
+		},
+		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
 			Address: net.JoinHostPort(s.Callers.Addr().String(), strconv.Itoa(int(s.MetricsPort))), Handler: metrics,
+			CloseTimeout: closeTimeout,
 		},
 	)
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -341,6 +341,7 @@
 		return r.o.Clock.Now()
 	}
 	now := r.o.Clock.Now()
+	c.pause = max(c.pause, now-last)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.intake.Progress(c.seq, eventstream.Count(events), now-last)
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +33,8 @@
 	service string
 	team    string
 	body    []byte
+	// pooled is where the body's memory goes when the request has ended; nil when it is not used again.
+	pooled *[]byte
 	// fingerprint identifies the request's content, however often it is sent.
 	fingerprint uint64
 	// arrived is when the request was read, limit when it ends in any case.
@@ -52,6 +56,8 @@
 	result string
 	// first is when the caller got the answer's first bytes.
 	first clock.Millis
+	// pause is the longest time between a stream's events.
+	pause clock.Millis
 }
 
 // Bounds of callers' requests beside those of the configuration.
@@ -72,6 +78,9 @@
 	r.inbound.Add(1)
 	defer r.inbound.Add(-1)
 	c := &call{w: w, req: req, seq: r.count.Add(1)}
+	// An earlier request of the connection may have left a deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
+	defer c.free()
 	if !r.read(c) {
 		return
 	}
@@ -84,8 +93,12 @@
 	if c.first > 0 {
 		r.metrics.answered(c.service, c.team, c.first-c.arrived)
 	}
+	if c.result == resultRefused {
+		return
+	}
 	r.o.Logger.Log(event.RequestEnded, "id", c.head.ID, "team", c.team, "route", c.route.Name(), "result", c.result,
-		"status", c.status, "took_ms", int64(now-c.arrived), "first_ms", c.firstAfter(), "sends", c.sends)
+		"status", c.status, "took_ms", int64(now-c.arrived), "first_ms", c.firstAfter(),
+		"pause_ms", int64(c.pause), "sends", c.sends)
 	if c.committed && c.result != resultWhole {
 		// The connection is closed, so that the answer does not look complete.
 		panic(http.ErrAbortHandler)
@@ -156,12 +169,29 @@
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	body := http.MaxBytesReader(c.w, c.req.Body, limit)
-	if c.req.ContentLength > 0 {
-		data := make([]byte, c.req.ContentLength)
-		_, err := io.ReadFull(body, data)
-		return data, err
+	if c.req.ContentLength < 0 {
+		return io.ReadAll(body)
+	}
+	c.pooled = bodies.Get().(*[]byte) //nolint:forcetypeassert // The pool holds nothing else.
+	data := slices.Grow((*c.pooled)[:0], int(c.req.ContentLength))[:c.req.ContentLength]
+	*c.pooled = data
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
+// bodies holds the memory of bodies whose requests have ended.
+var bodies = sync.Pool{New: func() any { return new([]byte) }}
+
+// maxPooled is the largest body whose memory is used again.
+const maxPooled = 64 << 10
+
+// free gives back the body's memory.
+func (c *call) free() {
+	c.body = nil
+	if c.pooled != nil && cap(*c.pooled) <= maxPooled {
+		bodies.Put(c.pooled)
 	}
-	return io.ReadAll(body)
+	c.pooled = nil
 }
 
 // settle fixes what follows from a whole request.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -150,7 +150,7 @@
 	// acceptTime is how long new requests are taken: the balancer notices within two of its looks, one a second.
 	acceptTime = 2500 * clock.Millis(1)
 	// endMargin is how long before the end of the grace time the process gives up on requests in progress.
-	endMargin = 500 * time.Millisecond
+	endMargin = 900 * time.Millisecond
 )
 
 func (r *Router) shutdown() {
@@ -173,6 +173,9 @@
 	r.o.Logger.Log(event.Stopped)
 }
 
+// Requests returns how many requests came.
+func (r *Router) Requests() int64 { return r.count.Load() }
+
 // Ready reports whether new connections should come to this router.
 func (r *Router) Ready() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
 
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/interval"
 )
 
 // followConfiguration keeps the configuration in force up to date.
@@ -30,7 +31,7 @@
 			r.logReachable(event.LogReachable, event.LogUnreachable, err)
 		}
 		if err != nil {
-			pause(ctx, retryPause)
+			interval.Sleep(ctx, retryPause)
 			continue
 		}
 		if changed {
@@ -80,11 +81,11 @@
 		}
 		if err != nil {
 			r.listFailed(err)
-			pause(ctx, retryPause)
+			interval.Sleep(ctx, retryPause)
 			continue
 		}
 		r.setServers(l)
-		pause(ctx, listInterval-time.Since(began))
+		interval.Sleep(ctx, listInterval-time.Since(began))
 	}
 }
 
@@ -116,12 +117,3 @@
 	r.o.Logger.Log(event.ServersChanged, "revision", r.roster.Revision(), "ready", len(ready), "source", source)
 	r.decide()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -15,6 +15,7 @@
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
+	"github.com/laburnumring/laburnumring/internal/interval"
 )
 
 // message returns what the peers are told.
@@ -145,7 +146,7 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			pause(ctx, retryPause)
+			interval.Sleep(ctx, retryPause)
 			continue
 		}
 		room <- struct{}{}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -16,8 +16,8 @@
 
 const (
 	defaultHeaderTimeout = 5 * time.Second
-	idleTimeout          = 2 * time.Minute
-	closeTimeout         = 2 * time.Second
+	defaultIdleTimeout   = 2 * time.Minute
+	defaultCloseTimeout  = 2 * time.Second
 	maxHeaderBytes       = 64 << 10
 )
 
@@ -33,6 +33,12 @@
 	TLS *tls.Config
 	// HeaderTimeout is the longest that a TLS handshake or a request's header may take; 5 seconds when zero.
 	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection may be idle; two minutes when zero.
+	IdleTimeout time.Duration
+	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
+	SoftConns int
+	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
+	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
 	Refusals *refusal.Recorder
 }
@@ -87,6 +93,8 @@
 	ln      net.Listener
 	srv     *http.Server
 	watcher *watcher
+	// closeTimeout bounds the wait for open requests.
+	closeTimeout time.Duration
 	// served gets the result of serving.
 	served chan error
 }
@@ -95,6 +103,12 @@
 	if l.HeaderTimeout == 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
+	if l.IdleTimeout == 0 {
+		l.IdleTimeout = defaultIdleTimeout
+	}
+	if l.CloseTimeout == 0 {
+		l.CloseTimeout = defaultCloseTimeout
+	}
 	ln, err := l.listen()
 	if err != nil {
 		return nil, err
@@ -102,21 +116,21 @@
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
 	}
-	w := newWatcher(l.Refusals)
+	w := newWatcher(l.Refusals, l.SoftConns)
 	srv := &http.Server{
 		Handler:           w.wrap(l.Handler),
 		ReadHeaderTimeout: l.HeaderTimeout,
-		IdleTimeout:       idleTimeout,
+		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          w.errorLog(),
 		ConnState:         w.connState,
 		ConnContext:       w.connContext,
 	}
-	return &server{ln: ln, srv: srv, watcher: w, served: make(chan error, 1)}, nil
+	return &server{ln: ln, srv: srv, watcher: w, served: make(chan error, 1), closeTimeout: l.CloseTimeout}, nil
 }
 
 func (s *server) close() error {
-	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	closing, cancel := context.WithTimeout(context.Background(), s.closeTimeout)
 	defer cancel()
 	if err := s.srv.Shutdown(closing); err != nil {
 		_ = s.srv.Close()
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -21,6 +21,8 @@
 // watcher finds refusals that net/http makes by itself.
 type watcher struct {
 	refusals *refusal.Recorder
+	// softConns is from how many connections on each answer ends its connection; 0 for never.
+	softConns int
 	// open counts connections whose end was not yet seen.
 	open sync.WaitGroup
 
@@ -29,8 +31,8 @@
 	unanswered map[net.Conn]int
 }
 
-func newWatcher(r *refusal.Recorder) *watcher {
-	return &watcher{refusals: r, unanswered: make(map[net.Conn]int)}
+func newWatcher(r *refusal.Recorder, softConns int) *watcher {
+	return &watcher{refusals: r, softConns: softConns, unanswered: make(map[net.Conn]int)}
 }
 
 // connKey is the context key of a request's connection.
@@ -46,6 +48,9 @@
 		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
 			w.add(c, -1)
 		}
+		if w.crowded() {
+			rw.Header().Set("Connection", "close")
+		}
 		h.ServeHTTP(rw, r)
 	})
 }
@@ -55,6 +60,7 @@
 	switch state {
 	case http.StateNew:
 		w.open.Add(1)
+		w.add(c, 0)
 	case http.StateActive:
 		w.add(c, 1)
 	case http.StateClosed, http.StateHijacked:
@@ -66,6 +72,13 @@
 	}
 }
 
+// crowded reports whether connections are to be ended.
+func (w *watcher) crowded() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.softConns > 0 && len(w.unanswered) >= w.softConns
+}
+
 func (w *watcher) add(c net.Conn, n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -12,10 +12,12 @@
 
 // Weights and bounds of the choice of a server.
 const (
-	// goalTime is the part of a request's goal within which its first token must be expected, and spareTime that for
-	// a request which will be late in any case.
-	goalTime  = 0.9
+	// goalTime is the part of a request's goal within which its first token must be expected.
+	goalTime = 0.9
+	// spareTime is the part of its goal within which an engine must begin with a request that will be late in any
+	// case; longTime is the part from which on the request itself is too long to count.
 	spareTime = 0.5
+	longTime  = 0.6
 	// returnedShare is the part of its share up to which a team's returned callers are served.
 	returnedShare = 0.8
 	// spareSlots is the part of an engine's slots that late requests may fill.
@@ -24,7 +26,7 @@
 	// for answers longer than expected.
 	memoryFill = 0.85
 	// spreadPenalty is how much more a shared part counts where it would be read once more.
-	spreadPenalty = 4.0
+	spreadPenalty = 8.0
 	// placePenalty is the extra time to a server in another place, in milliseconds.
 	placePenalty = 2.0
 	// placeSlots is the extra load that a plain server in another place counts for, in slots.
@@ -45,6 +47,8 @@
 type choice struct {
 	s     *server
 	score float64
+	// alone is the expected time to the first token if nothing were queued, in milliseconds.
+	alone int64
 	basis Basis
 }
 
@@ -147,7 +151,7 @@
 	if !reachable {
 		return refuse(r, "no_server", clock.Second), true
 	}
-	wait := c.queueWait(r.Service, len(pool))
+	wait := c.queueWait(r, len(pool))
 	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
 		return withBasis(refuse(r, "engines_full", clock.Millis(wait)+r.Goal), best.basis), true
 	}
@@ -159,9 +163,15 @@
 	return float64(ch.basis.Expected) + ch.s.pace*float64(r.OutputTokens)/float64(max(1, svc.EventTokens))
 }
 
-// spare reports whether an engine would begin with a request so soon that it delays little else.
+// spare reports whether an engine has so little queued that a request which cannot be on time, as it came late or is
+// long, takes nobody's place.
 func spare(r Request, ch choice, svc routing.Service) bool {
-	return float64(ch.basis.Expected) <= spareTime*float64(r.Goal) &&
+	long := float64(ch.alone) > longTime*float64(r.Goal)
+	begins := ch.basis.Expected
+	if long {
+		begins -= ch.alone
+	}
+	return float64(begins) <= spareTime*float64(r.Goal) &&
 		float64(ch.basis.Running) < spareSlots*float64(engineSlots(svc, ch.s))
 }
 
@@ -200,7 +210,7 @@
 		}
 		score += failurePenalty * s.failures * expected
 		if score < best.score {
-			best = choice{s: s, score: score, basis: Basis{
+			best = choice{s: s, score: score, alone: int64(f.Predict(s.entry.ID, fresh)), basis: Basis{
 				Expected: int64(expected), Queued: l.Queued, Fresh: fresh, Running: l.Running, PeerAge: v.peerAge,
 			}}
 		}
@@ -270,15 +280,15 @@
 	return n
 }
 
-// queueWait returns the milliseconds in which the engines read the prompts that wait here.
-func (c *Controller) queueWait(service string, servers int) float64 {
+// queueWait returns the milliseconds in which the engines read the prompts that wait here beside r.
+func (c *Controller) queueWait(r Request, servers int) float64 {
 	tokens := int64(0)
-	for _, r := range c.waiting {
-		if r.Service == service {
-			tokens += r.ownTokens()
+	for _, w := range c.waiting {
+		if w.Service == r.Service && w.ID != r.ID {
+			tokens += w.ownTokens()
 		}
 	}
-	return float64(tokens) * c.forecast(service).Slope() / float64(servers)
+	return float64(tokens) * c.forecast(r.Service).Slope() / float64(servers)
 }
 
 // Bounds of the time after which a team beyond its share is told to come back.
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -26,6 +26,9 @@
 	endTarget    = 0.3
 	strainWeight = 0.05
 	maxStrain    = 3.0
+	// firstSupply is the factor before the first look, without other routers: engines that keep the shared parts of
+	// prompts give about this much.
+	firstSupply = 1.6
 	// supplyGain is how fast the factor follows, per second and unit of strain.
 	supplyGain = 1.0
 	// supplyPull is how far the factor moves towards the other routers' mean at each step.
@@ -43,7 +46,10 @@
 // the other routers; 0 when it is not known.
 func (s *supply) observe(now clock.Millis, begin, end, others float64) {
 	if s.factor == 0 {
-		*s = supply{factor: 1, strain: 1, at: now}
+		*s = supply{factor: firstSupply, strain: 1, at: now}
+		if others > 0 {
+			s.factor = others
+		}
 	}
 	s.strain += strainWeight * (min(maxStrain, max(begin/beginTarget, end/endTarget)) - s.strain)
 	if now-s.at < supplyStep {
@@ -60,7 +66,7 @@
 
 func (s *supply) times(tokensPerSecond float64) float64 {
 	if s.factor == 0 {
-		return tokensPerSecond
+		return firstSupply * tokensPerSecond
 	}
 	return s.factor * tokensPerSecond
 }
--- /dev/null
+++ b/internal/logqueue/logqueue.go
@@ -0,0 +1,145 @@
+// Package logqueue takes log lines without ever waiting for whoever reads them, and writes them in batches.
+package logqueue
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Options are the settings of a Queue.
+type Options struct {
+	// LinesPerSecond and Burst bound the lines that are taken; 600 and 2000 when zero.
+	LinesPerSecond float64
+	Burst          int
+	// MaxBytes bounds what waits to be written; 256 KiB when zero.
+	MaxBytes int
+	// Interval is the time between two batches; 50 milliseconds when zero.
+	Interval time.Duration
+	// Dropped is told how many lines were dropped since it was last told.
+	Dropped func(lines int64)
+}
+
+const (
+	// defaultLinesPerSecond lets a router of a third of a core log two lines of each request at its usual load.
+	defaultLinesPerSecond = 600
+	defaultBurst          = 2000
+	defaultMaxBytes       = 256 << 10
+	defaultInterval       = 50 * time.Millisecond
+	// reportInterval is the least time between two reports of dropped lines.
+	reportInterval = 1 * time.Second
+)
+
+// Queue is a writer of whole lines. It is safe for concurrent use.
+type Queue struct {
+	o       Options
+	w       io.Writer
+	limiter *rate.Limiter
+	// ended is closed when the last batch was written, stop to ask for that.
+	ended chan struct{}
+	stop  chan struct{}
+
+	mu sync.Mutex
+	// waiting holds the lines that were not written yet, at most o.MaxBytes.
+	waiting bytes.Buffer
+	// dropped counts the lines that were dropped and not told of, reported when they were last told.
+	dropped  int64
+	reported time.Time
+}
+
+// New returns a queue before w. Close ends it.
+func New(w io.Writer, o Options) *Queue {
+	if o.LinesPerSecond == 0 {
+		o.LinesPerSecond = defaultLinesPerSecond
+	}
+	if o.Burst == 0 {
+		o.Burst = defaultBurst
+	}
+	if o.MaxBytes == 0 {
+		o.MaxBytes = defaultMaxBytes
+	}
+	if o.Interval == 0 {
+		o.Interval = defaultInterval
+	}
+	q := &Queue{
+		o: o, w: w, limiter: rate.NewLimiter(rate.Limit(o.LinesPerSecond), o.Burst),
+		ended: make(chan struct{}), stop: make(chan struct{}),
+	}
+	go q.run()
+	return q
+}
+
+// Write takes one line, or drops it when too many came. It never fails.
+func (q *Queue) Write(line []byte) (int, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waiting.Len()+len(line) > q.o.MaxBytes || !q.limiter.Allow() {
+		q.dropped++
+		return len(line), nil
+	}
+	return q.waiting.Write(line)
+}
+
+// SetDropped sets what is told of dropped lines, for a logger that itself writes to the queue.
+func (q *Queue) SetDropped(f func(lines int64)) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.o.Dropped = f
+}
+
+// Close writes what waits and ends the queue.
+func (q *Queue) Close() {
+	close(q.stop)
+	<-q.ended
+}
+
+func (q *Queue) run() {
+	defer close(q.ended)
+	t := time.NewTicker(q.o.Interval)
+	defer t.Stop()
+	var batch []byte
+	for {
+		stopping := false
+		select {
+		case <-q.stop:
+			stopping = true
+		case <-t.C:
+		}
+		q.report()
+		batch = q.take(batch)
+		if len(batch) > 0 {
+			// A line that cannot be written has nowhere else to go.
+			_, _ = q.w.Write(batch)
+		}
+		if stopping {
+			return
+		}
+	}
+}
+
+// take moves what waits into batch.
+func (q *Queue) take(batch []byte) []byte {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	batch = append(batch[:0], q.waiting.Bytes()...)
+	q.waiting.Reset()
+	return batch
+}
+
+// report tells how many lines were dropped.
+func (q *Queue) report() {
+	q.mu.Lock()
+	n, tell := q.dropped, q.o.Dropped
+	due := n > 0 && tell != nil && time.Since(q.reported) >= reportInterval
+	if due {
+		q.dropped = 0
+		q.reported = time.Now()
+	}
+	q.mu.Unlock()
+	if due {
+		tell(n)
+	}
+}
