--- a/internal/retrycap/retrycap_test.go
+++ b/internal/retrycap/retrycap_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/laburnumring/laburnumring/internal/retrycap"
 	"github.com/laburnumring/laburnumring/pkg/clock"
+
 	"pgregory.net/rapid"
 )
 
