readshare, gossip: Divide store reads among routers and shorten messages

Change: two routers read the list and four wait for the configuration; the others learn from messages what is in force and how old it is, and read themselves when that grows too old (package readshare, pure). Suspects are told while they are news, others in turn; the period of messages grows with the number of routers; fleet-wide sums are kept and added in a fixed order, as TestRunRepeats failed by the last digits.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/readshare"
 	"github.com/laburnumring/laburnumring/internal/retrycap"
 	"github.com/laburnumring/laburnumring/internal/roster"
 	"github.com/laburnumring/laburnumring/internal/routing"
@@ -56,9 +57,21 @@
 const (
 	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
 	pollInterval = 10 * time.Millisecond
-	// listInterval is the time between reads of the list of backend servers. With the time of a read it stays well
-	// under the two seconds in which a leaving server must get no more work.
-	listInterval  = 700 * time.Millisecond
+	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
+	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
+	// seconds in which a leaving server must get no more work.
+	listInterval = 700 * clock.Millis(1)
+	maxListAge   = 1000 * clock.Millis(1)
+	// maxConfigurationAge is the same for the configuration, which must be in force within two seconds.
+	maxConfigurationAge = 1500 * clock.Millis(1)
+	// readStagger keeps routers from beginning to read at the same time.
+	readStagger = 100 * clock.Millis(1)
+	// listReaders and configurationReaders are how many routers read in any case. A read of the configuration is
+	// answered when there is a change, so that more readers are no more calls for each change.
+	listReaders          = 2
+	configurationReaders = 4
+	// maxReadWait bounds the time between two looks whether to read.
+	maxReadWait   = 100 * time.Millisecond
 	pruneInterval = 1 * time.Second
 	// retryPause is the time after a failed call of the platform.
 	retryPause = 250 * time.Millisecond
@@ -86,13 +99,18 @@
 	roster   *roster.Roster
 	intake   *intake.Controller
 	suspects *suspect.List
-	retries  map[string]*retrycap.Cap
+	// told is the last older suspect that peers were told of.
+	told    uint64
+	retries map[string]*retrycap.Cap
 	// calls holds the requests that wait for a decision.
 	calls map[int64]*call
 	// breaks holds the requests whose server broke off lately, by the server's address.
 	breaks map[string][]broken
-	// listed says that the last read of the server list succeeded.
+	// listed says that the last own read of the server list succeeded.
 	listed bool
+	// listReads and configurationReads divide the reads among the routers.
+	listReads          *readshare.Share
+	configurationReads *readshare.Share
 	// asking says that a peer is being asked for its state.
 	asking bool
 }
@@ -111,6 +129,12 @@
 		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
 		suspects: suspect.New(suspect.Options{}), retries: make(map[string]*retrycap.Cap),
 		calls: make(map[int64]*call), breaks: make(map[string][]broken),
+		listReads: readshare.New(readshare.Options{
+			Readers: listReaders, Interval: listInterval, MaxAge: maxListAge, Stagger: readStagger,
+		}),
+		configurationReads: readshare.New(readshare.Options{
+			Readers: configurationReaders, MaxAge: maxConfigurationAge, Stagger: readStagger,
+		}),
 	}
 	r.metrics.registry.MustRegister(o.Collectors...)
 	r.gossip = gossip.New(gossip.Options{
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/readshare"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // followConfiguration keeps the configuration in force up to date.
 func (r *Router) followConfiguration(ctx context.Context) {
 	reachable := true
+	// known says that the last read succeeded, so that the next one can wait for a change.
 	known := false
 	for ctx.Err() == nil {
+		if !r.mayRead(ctx, r.configurationReads) {
+			known = false
+			continue
+		}
 		var t laburnumring.ConfigurationText
 		var err error
 		changed := true
@@ -26,8 +32,8 @@
 			return
 		}
 		known = err == nil
-		if ok := err == nil; ok != reachable {
-			reachable = ok
+		if known != reachable {
+			reachable = known
 			r.logReachable(event.LogReachable, event.LogUnreachable, err)
 		}
 		if err != nil {
@@ -37,9 +43,28 @@
 		if changed {
 			r.configure(t, "platform")
 		}
+		r.mu.Lock()
+		r.configurationReads.Read(r.o.Clock.Now())
+		r.mu.Unlock()
 	}
 }
 
+// mayRead reports whether it is time for an own read. It waits a little when it is not.
+func (r *Router) mayRead(ctx context.Context, s *readshare.Share) bool {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	wait := s.Wait(now)
+	if wait == 0 {
+		s.Tried(now)
+	}
+	r.mu.Unlock()
+	if wait == 0 {
+		return true
+	}
+	interval.Sleep(ctx, min(wait.Duration(), maxReadWait))
+	return false
+}
+
 func (r *Router) logReachable(up, down event.Event, err error) {
 	if err == nil {
 		r.o.Logger.Log(up)
@@ -74,7 +99,10 @@
 // followServers keeps the list of backend servers up to date.
 func (r *Router) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		began := time.Now()
+		if !r.mayRead(ctx, r.listReads) {
+			continue
+		}
+		began := r.o.Clock.Now()
 		l, err := r.o.Servers.Servers(ctx)
 		if ctx.Err() != nil {
 			return
@@ -84,8 +112,7 @@
 			interval.Sleep(ctx, retryPause)
 			continue
 		}
-		r.setServers(l)
-		interval.Sleep(ctx, listInterval-time.Since(began))
+		r.setServers(l, began)
 	}
 }
 
@@ -98,9 +125,11 @@
 	}
 }
 
-func (r *Router) setServers(l laburnumring.ServerList) {
+// setServers takes a list whose read began at the given time.
+func (r *Router) setServers(l laburnumring.ServerList, began clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.listReads.Read(began)
 	if !r.listed {
 		r.listed = true
 		r.o.Logger.Log(event.ListReachable, "revision", l.Revision)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
@@ -16,6 +17,9 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/readshare"
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // message returns what the peers are told.
@@ -23,9 +27,12 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var entries []suspect.Entry
+	entries, r.told = r.suspects.News(now, newsLife, r.told, maxOldEntries)
 	return gossip.Message{
-		Configuration: r.text.Version, Roster: r.roster.Revision(), Listed: r.listed,
-		Work: r.intake.Report(now), Suspects: r.suspects.Entries(now),
+		Configuration: r.text.Version, Roster: r.roster.Revision(),
+		ConfigurationAge: ageOf(now, r.configurationReads), RosterAge: ageOf(now, r.listReads),
+		Work: r.intake.Report(now), Suspects: entries,
 	}
 }
 
@@ -38,7 +45,16 @@
 	for _, e := range m.Suspects {
 		r.suspects.Merge(now, e)
 	}
-	newer := m.Configuration > r.text.Version || !r.listed && m.Listed && m.Roster > r.roster.Revision()
+	r.configurationReads.Rank(r.rank())
+	r.listReads.Rank(r.rank())
+	if m.ConfigurationAge >= 0 && m.Configuration == r.text.Version {
+		r.configurationReads.Confirmed(now, m.ConfigurationAge)
+	}
+	listRead := m.RosterAge >= 0 && m.RosterAge <= maxListAge
+	if listRead && m.Roster == r.roster.Revision() {
+		r.listReads.Confirmed(now, m.RosterAge)
+	}
+	newer := m.Configuration > r.text.Version || listRead && m.Roster > r.roster.Revision()
 	if newer && !r.asking {
 		r.asking = true
 		// The call is bounded by peerTimeout, and stops with the process.
@@ -46,6 +62,34 @@
 	}
 }
 
+const (
+	// newsLife is how long a change of a suspected request is told in each message; some are lost.
+	newsLife = 1 * clock.Second
+	// maxOldEntries is how many older entries a message tells beside.
+	maxOldEntries = 4
+)
+
+// ageOf returns the age of what this router has read itself.
+func ageOf(now clock.Millis, s *readshare.Share) clock.Millis {
+	if age, ok := s.Age(now); ok {
+		return age
+	}
+	return gossip.Unread
+}
+
+// rank returns how many of the routers that are heard are before this one. The order is by hash, so that the first few
+// stand in several places.
+func (r *Router) rank() int {
+	own := xxhash.Sum64String(r.o.Address.Addr().String())
+	n := 0
+	for _, a := range r.gossip.Peers() {
+		if xxhash.Sum64String(a.String()) < own {
+			n++
+		}
+	}
+	return n
+}
+
 // Known is what a router holds, as it asks a peer for newer state.
 type Known struct {
 	Configuration int64
@@ -70,7 +114,7 @@
 	if p.r.text.Version > k.Configuration {
 		s.Configuration = p.r.text
 	}
-	if p.r.listed && p.r.roster.Revision() > k.Roster {
+	if p.r.roster.Revision() > k.Roster {
 		s.Servers = p.r.roster.List()
 	}
 	return nil
@@ -104,7 +148,7 @@
 	r.configure(s.Configuration, from.String())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.listed && r.roster.TakeFromPeer(s.Servers) {
+	if r.roster.TakeFromPeer(s.Servers) {
 		r.serversChanged(from.String())
 	}
 }
--- a/internal/experiment/owed.go
+++ b/internal/experiment/owed.go
@@ -1,7 +1,9 @@
 package experiment
 
 import (
+	"maps"
 	"math"
+	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -19,7 +21,8 @@
 	for _, f := range w.all {
 		windows[f.at/shareWindow] = append(windows[f.at/shareWindow], f)
 	}
-	for _, flights := range windows {
+	for _, n := range slices.Sorted(maps.Keys(windows)) {
+		flights := windows[n]
 		asked := make(map[string]fairshare.Rates)
 		got := make(map[string]float64)
 		for _, f := range flights {
@@ -40,7 +43,8 @@
 	}
 	worst = math.Inf(1)
 	total := sum{}
-	for _, s := range teams {
+	for _, name := range slices.Sorted(maps.Keys(teams)) {
+		s := teams[name]
 		total.owed += s.owed
 		total.got += s.got
 		worst = min(worst, s.got/s.owed)
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -3,6 +3,7 @@
 package fairshare
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -26,10 +27,11 @@
 
 // Rates are a team's tokens per second.
 type Rates struct {
+	_ struct{} `cbor:",toarray"`
 	// Asked counts the tokens of all requests that came, Served those of requests that were sent to a server, up to
 	// what is held against the team.
-	Asked  float64 `cbor:"1,keyasint"`
-	Served float64 `cbor:"2,keyasint"`
+	Asked  float64
+	Served float64
 }
 
 // tally is one team's decayed sums at this router.
@@ -52,6 +54,9 @@
 	own map[string]*tally
 	// peers holds the peers' last reports by peer.
 	peers map[string]report
+	// others is the sum of the peers' reports, valid until the given time; nil when it must be taken anew.
+	others      map[string]Rates
+	othersUntil clock.Millis
 }
 
 // New returns a ledger without teams.
@@ -87,18 +92,25 @@
 	}
 }
 
-// Report returns this router's own rates.
+// Report returns this router's own rates, in single precision, as that is what peers are sent.
 func (l *Ledger) Report(now clock.Millis) map[string]Rates {
 	out := make(map[string]Rates, len(l.own))
 	for name := range l.own {
-		out[name] = l.team(now, name).rates
+		r := l.team(now, name).rates
+		if r.Asked >= minRate {
+			out[name] = Rates{Asked: float64(float32(r.Asked)), Served: float64(float32(r.Served))}
+		}
 	}
 	return out
 }
 
+// minRate is the least rate that is told, in tokens per second.
+const minRate = 1
+
 // Merge takes a peer's report in place of its former one.
 func (l *Ledger) Merge(now clock.Millis, peer string, teams map[string]Rates) {
 	l.peers[peer] = report{teams: teams, at: now}
+	l.others = nil
 }
 
 // Level returns the max-min share of capacity in tokens per second: teams that ask for less are owed all, the
@@ -122,20 +134,35 @@
 
 // Totals returns all teams' fleet-wide rates.
 func (l *Ledger) Totals(now clock.Millis) map[string]Rates {
-	out := l.Report(now)
-	for peer, p := range l.peers {
+	if l.others == nil || now > l.othersUntil {
+		l.sumOthers(now)
+	}
+	out := maps.Clone(l.others)
+	for name := range l.own {
+		out[name] = out[name].plus(l.team(now, name).rates)
+	}
+	return out
+}
+
+// sumOthers adds up what peers reported lately, in a fixed order, so that the sums repeat.
+func (l *Ledger) sumOthers(now clock.Millis) {
+	l.others = make(map[string]Rates)
+	l.othersUntil = now + l.o.PeerLife
+	for _, peer := range slices.Sorted(maps.Keys(l.peers)) {
+		p := l.peers[peer]
 		if now-p.at > l.o.PeerLife {
 			delete(l.peers, peer)
 			continue
 		}
+		l.othersUntil = min(l.othersUntil, p.at+l.o.PeerLife)
 		for name, r := range p.teams {
-			sum := out[name]
-			sum.Asked += r.Asked
-			sum.Served += r.Served
-			out[name] = sum
+			l.others[name] = l.others[name].plus(r)
 		}
 	}
-	return out
+}
+
+func (r Rates) plus(o Rates) Rates {
+	return Rates{Asked: r.Asked + o.Asked, Served: r.Served + o.Served}
 }
 
 // team returns the team's tally, decayed to now.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -27,17 +28,22 @@
 	Seq         int64  `cbor:"2,keyasint"`
 	// Peers are the IP addresses of the routers that the sender heard from lately.
 	Peers []netip.Addr `cbor:"3,keyasint"`
-	// Configuration and Roster are the versions that the sender holds; Listed says that it reads the platform's
-	// list itself.
+	// Configuration and Roster are the versions that the sender holds.
 	Configuration int64 `cbor:"4,keyasint"`
 	Roster        int64 `cbor:"5,keyasint"`
-	Listed        bool  `cbor:"6,keyasint"`
+	// ConfigurationAge and RosterAge are how long ago the sender itself found them to be the platform's newest; Unread
+	// when it has not.
+	ConfigurationAge clock.Millis `cbor:"6,keyasint"`
+	RosterAge        clock.Millis `cbor:"10,keyasint"`
 	// Work is the sender's load and rates.
 	Work intake.Report `cbor:"7,keyasint"`
 	// Suspects are the requests that may take servers down.
 	Suspects []suspect.Entry `cbor:"9,keyasint"`
 }
 
+// Unread is the age of what the sender has not read itself.
+const Unread clock.Millis = -1
+
 // Options are the settings of an Exchange.
 type Options struct {
 	// Address is the IP address of this router and the port that all routers use.
@@ -54,8 +60,10 @@
 }
 
 const (
-	// period is the time between messages; some requests arrive at each server in it.
-	period = 100 * time.Millisecond
+	// minPeriod is the time between messages among few routers; some requests arrive at each server in it. With many
+	// the period is peerPeriod for each, which bounds what a small VM sends and reads.
+	minPeriod  = 100 * time.Millisecond
+	peerPeriod = 11 * time.Millisecond
 	// peerLife is how long after its last message a peer still gets messages, and seedPeriod the time between
 	// messages to a seed that is silent.
 	peerLife   = 10 * clock.Second
@@ -65,6 +73,17 @@
 	maxPeers   = 1024
 )
 
+// encoding shortens the rates, of which nobody needs more than three digits.
+var encoding = mustEncoding()
+
+func mustEncoding() cbor.EncMode {
+	m, err := cbor.EncOptions{ShortestFloat: cbor.ShortestFloat16}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // peer is a router that was heard of.
 type peer struct {
 	// heard is when its last message came; 0 before the first. sent is when it was last sent one.
@@ -105,14 +124,9 @@
 	}
 	var wg sync.WaitGroup
 	wg.Go(func() { x.receive(conn) })
-	t := time.NewTicker(period)
-	defer t.Stop()
 	for ctx.Err() == nil {
-		x.send(conn)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
+		peers := x.send(conn)
+		interval.Sleep(ctx, max(minPeriod, time.Duration(peers)*peerPeriod))
 	}
 	err = conn.Close()
 	wg.Wait()
@@ -156,11 +170,12 @@
 	return out
 }
 
-func (x *Exchange) send(conn *net.UDPConn) {
+// send tells the peers and returns how many there are.
+func (x *Exchange) send(conn *net.UDPConn) int {
 	now := x.o.Clock.Now()
 	to := x.due(now)
 	if len(to) == 0 {
-		return
+		return 0
 	}
 	m := x.o.Message()
 	x.mu.Lock()
@@ -169,15 +184,16 @@
 	m.Peers = x.fresh(now)
 	x.mu.Unlock()
 	m.Incarnation = x.o.Incarnation
-	data, err := cbor.Marshal(m)
+	data, err := encoding.Marshal(m)
 	if err != nil {
 		x.o.Logger.Log(event.PeerMessageBad, "direction", "out", "error", err)
-		return
+		return len(to)
 	}
 	for _, a := range to {
 		// A datagram that cannot be sent is one that is lost; the next one follows.
 		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(a, x.o.Address.Port()))
 	}
+	return len(to)
 }
 
 func (x *Exchange) receive(conn *net.UDPConn) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -311,8 +312,9 @@
 // othersSupply returns the mean factor of the other routers; 0 when none told one.
 func (c *Controller) othersSupply(service string) float64 {
 	sum, n := 0.0, 0
-	for _, p := range c.peers {
-		if f, ok := p.r.Supplies[service]; ok {
+	// A fixed order makes the sum repeat.
+	for _, peer := range slices.Sorted(maps.Keys(c.peers)) {
+		if f, ok := c.peers[peer].r.Supplies[service]; ok {
 			sum += f
 			n++
 		}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -7,12 +7,13 @@
 
 // Load is what one router has at one server.
 type Load struct {
+	_ struct{} `cbor:",toarray"`
 	// Running counts the requests that were sent and have not ended.
-	Running int `cbor:"1,keyasint"`
+	Running int
 	// Queued is the prompt tokens of those without a first token, Memory the tokens that all of them hold or will
 	// hold beyond the shared parts.
-	Queued int64 `cbor:"2,keyasint"`
-	Memory int64 `cbor:"3,keyasint"`
+	Queued int64
+	Memory int64
 }
 
 func (l Load) plus(o Load) Load {
--- /dev/null
+++ b/internal/readshare/readshare_test.go
@@ -0,0 +1,55 @@
+package readshare_test
+
+import (
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/readshare"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// TestReaders plays routers that tell each other the age of what they read, loses the readers, and counts reads. What
+// any router knows must never be older than a bound.
+func TestReaders(t *testing.T) {
+	const (
+		routers  = 28
+		exchange = 300
+		bound    = 1500
+	)
+	o := readshare.Options{Readers: 2, Interval: 700, MaxAge: 1000, Stagger: 100}
+	shares := make([]*readshare.Share, routers)
+	known := make([]clock.Millis, routers)
+	for i := range shares {
+		shares[i] = readshare.New(o)
+		shares[i].Rank(i)
+	}
+	reads := 0
+	lost := func(i int, now clock.Millis) bool { return i < 4 && now > 10_000 }
+	for now := clock.Millis(1); now < 20_000; now += 10 {
+		for i, s := range shares {
+			if lost(i, now) {
+				continue
+			}
+			if s.Wait(now) == 0 {
+				s.Tried(now)
+				s.Read(now)
+				known[i] = now
+				reads++
+			}
+			if int(now)%exchange == i*10+1 {
+				age, ok := s.Age(now)
+				for j, other := range shares {
+					if ok && j != i && !lost(j, now) {
+						other.Confirmed(now, age)
+						known[j] = max(known[j], now-age)
+					}
+				}
+			}
+			if now > 1000 && now-known[i] > bound {
+				t.Fatalf("at %d router %d knows what is %d ms old", now, i, now-known[i])
+			}
+		}
+	}
+	if alone := routers * 20_000 / 700; reads*5 > alone {
+		t.Errorf("%d reads, want at most a fifth of the %d that each would do alone", reads, alone)
+	}
+}
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -170,6 +170,25 @@
 	return out
 }
 
+// News returns the entries that changed within the last life, and up to most others that follow the fingerprint after,
+// so that peers which missed an entry, or have started since, learn it in turn. It returns the last of the others, to
+// go on after; entries that begin anew follow the highest fingerprint.
+func (l *List) News(now, life clock.Millis, after uint64, most int) ([]Entry, uint64) {
+	var out, rest []Entry
+	for _, e := range l.Entries(now) {
+		switch {
+		case l.o.Life-e.Remaining <= life:
+			out = append(out, e)
+		case e.Fingerprint > after && len(rest) < most:
+			rest = append(rest, e)
+		}
+	}
+	if len(rest) == 0 {
+		return out, 0
+	}
+	return append(out, rest...), rest[len(rest)-1].Fingerprint
+}
+
 // Entry returns a fingerprint's entry, if one is in force.
 func (l *List) Entry(now clock.Millis, fingerprint uint64) (Entry, bool) {
 	if l.Kind(now, fingerprint) == 0 {
