direct: Send new connections elsewhere while the processor is overloaded

Change: readiness is false while a timer of 10 ms is late by 150 ms in the mean (package cpulag, pure; a quota's pauses and a VM that stood still do not count as overload); held bodies and kept connections are bounded by memory; accepted connections take their probing from the listener.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -37,12 +37,18 @@
 	// busyRate is in requests a second.
 	busyRate = 350
 	// memoryPart is the part of the memory limit above which garbage is collected at any cost.
-	memoryPart = 0.8
+	memoryPart = 0.7
 	// closeTimeout bounds the end of what is still open when the router has waited for its requests: the process must
 	// end before the platform kills it.
 	closeTimeout = 150 * time.Millisecond
 	// idleTimeout is over the time after which today's callers use a connection no more.
 	idleTimeout = 20 * time.Second
+	// heldPart is the part of the memory that callers' bodies may take.
+	heldPart = 0.15
+	// connPart is the part of the memory that callers' connections may take before they are not kept, and connBytes
+	// what one takes: its buffers, goroutines and what the kernel holds of a request that was not read.
+	connPart  = 0.25
+	connBytes = 32 << 10
 	// softConns is the part of the file limit from which on callers' connections are not kept.
 	softConns = 0.4
 	// retryParts is among how many routers the retry budget is divided: twice those of the smallest site, so that
@@ -92,7 +98,7 @@
 		Retry: retrycap.Options{
 			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst / retryParts,
 		},
-		Grace: s.Grace, Logger: logger,
+		Grace: s.Grace, Logger: logger, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
 	})
 }
 
@@ -106,7 +112,8 @@
 	})
 	metrics := mux.NewRouter()
 	metrics.Handle("/metrics", r.Metrics())
-	lc := net.ListenConfig{KeepAliveConfig: deadpeer.KeepAlive(), Control: deadpeer.Control}
+	// Accepted connections have the listener's options, which saves calls for each.
+	lc := net.ListenConfig{KeepAlive: -1, Control: deadpeer.ControlListener}
 	callers, err := lc.Listen(ctx, "tcp", s.Callers.String())
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
@@ -114,7 +121,7 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: int(softConns * float64(s.MaxFiles)),
+			SoftConns: min(int(softConns*float64(s.MaxFiles)), int(connPart*float64(s.MemoryBytes)/connBytes)),
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- /dev/null
+++ b/internal/cpulag/cpulag.go
@@ -0,0 +1,64 @@
+// Package cpulag tells from late timers whether a process gets too little processor time for its work.
+package cpulag
+
+import "github.com/laburnumring/laburnumring/pkg/clock"
+
+// Options are the settings of a Meter.
+type Options struct {
+	// Enter and Leave are the mean lateness from which on the process counts as overloaded, and below which it does
+	// not any more.
+	Enter clock.Millis
+	Leave clock.Millis
+	// Memory is the time constant of the mean; one second when zero.
+	Memory clock.Millis
+}
+
+const (
+	defaultMemory = 1 * clock.Second
+	// maxLate bounds what one timer counts for: a VM that stood still was not overloaded.
+	maxLate = 1 * clock.Second
+)
+
+// Meter follows a timer that should fire at a fixed interval. It is used by one goroutine at a time.
+type Meter struct {
+	o Options
+	// last is when the timer fired; 0 before.
+	last clock.Millis
+	// late is the decayed mean of how late it was, in milliseconds.
+	late       float64
+	overloaded bool
+}
+
+// New returns a meter that has seen nothing.
+func New(o Options) *Meter {
+	if o.Memory == 0 {
+		o.Memory = defaultMemory
+	}
+	return &Meter{o: o}
+}
+
+// Fired records that the timer fired, interval after it was set, and reports whether that changed the verdict.
+func (m *Meter) Fired(now, interval clock.Millis) bool {
+	if m.last == 0 {
+		m.last = now
+		return false
+	}
+	passed := now - m.last
+	m.last = now
+	late := min(maxLate, max(0, passed-interval))
+	weight := min(1, float64(min(passed, maxLate))/float64(m.o.Memory))
+	m.late += weight * (float64(late) - m.late)
+	was := m.overloaded
+	if m.overloaded {
+		m.overloaded = m.late >= float64(m.o.Leave)
+	} else {
+		m.overloaded = m.late >= float64(m.o.Enter)
+	}
+	return was != m.overloaded
+}
+
+// Late returns the mean lateness.
+func (m *Meter) Late() clock.Millis { return clock.Millis(m.late) }
+
+// Overloaded reports the verdict.
+func (m *Meter) Overloaded() bool { return m.overloaded }
--- /dev/null
+++ b/internal/cpulag/cpulag_test.go
@@ -0,0 +1,40 @@
+package cpulag_test
+
+import (
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/cpulag"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// TestVerdict plays timers of a calm process, one whose share of the processor is a quota that is used up in each tenth
+// of a second, one that stood still once, and one with too much work.
+func TestVerdict(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late func(i int) clock.Millis
+		want bool
+	}{
+		{"calm", func(int) clock.Millis { return 1 }, false},
+		{"quota", func(i int) clock.Millis { return clock.Millis(i%4/3) * 70 }, false},
+		{"stood still", func(i int) clock.Millis { return clock.Millis(i/99) * 5000 }, false},
+		{"too much work", func(int) clock.Millis { return 250 }, true},
+	} {
+		m := cpulag.New(cpulag.Options{Enter: 150, Leave: 50})
+		now := clock.Millis(1000)
+		for i := range 99 {
+			now += 10 + c.late(i)
+			m.Fired(now, 10)
+		}
+		if m.Overloaded() != c.want {
+			t.Errorf("%s: overloaded %v with %d ms late", c.name, m.Overloaded(), m.Late())
+		}
+		for range 500 {
+			now += 10
+			m.Fired(now, 10)
+		}
+		if m.Overloaded() {
+			t.Errorf("%s: still overloaded after five calm seconds", c.name)
+		}
+	}
+}
--- a/internal/deadpeer/deadpeer.go
+++ b/internal/deadpeer/deadpeer.go
@@ -2,6 +2,7 @@
 package deadpeer
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -22,6 +23,25 @@
 	return net.KeepAliveConfig{Enable: true, Idle: idle, Interval: interval, Count: count}
 }
 
+// ControlListener sets a listener so that the connections that it accepts are probed and bounded alike.
+func ControlListener(network, address string, c syscall.RawConn) error {
+	if err := Control(network, address, c); err != nil {
+		return err
+	}
+	var setErr error
+	err := c.Control(func(fd uintptr) {
+		for _, o := range []struct{ level, name, value int }{
+			{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(idle.Seconds())},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(interval.Seconds())},
+			{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, count},
+		} {
+			setErr = errors.Join(setErr, unix.SetsockoptInt(int(fd), o.level, o.name, o.value))
+		}
+	})
+	return errors.Join(err, setErr)
+}
+
 // Control bounds how long sent data may stay unacknowledged. It fits net.Dialer and net.ListenConfig.
 func Control(_, _ string, c syscall.RawConn) error {
 	var setErr error
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -33,6 +33,8 @@
 	service string
 	team    string
 	body    []byte
+	// held is what of the body counts as held.
+	held int64
 	// pooled is where the body's memory goes when the request has ended; nil when it is not used again.
 	pooled *[]byte
 	// fingerprint identifies the request's content, however often it is sent.
@@ -80,7 +82,10 @@
 	c := &call{w: w, req: req, seq: r.count.Add(1)}
 	// An earlier request of the connection may have left a deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
-	defer c.free()
+	defer func() {
+		r.held.Add(-c.held)
+		c.free()
+	}()
 	if !r.read(c) {
 		return
 	}
@@ -149,6 +154,9 @@
 			return r.reject(c, http.StatusUnauthorized, "key_unknown")
 		}
 	}
+	if n := max(0, c.req.ContentLength); r.o.MaxHeld > 0 && r.held.Load()+n > r.o.MaxHeld {
+		return r.reject(c, http.StatusServiceUnavailable, "router_full")
+	}
 	if c.body, err = readBody(c, t.Limits()); err != nil {
 		var long *http.MaxBytesError
 		if errors.As(err, &long) {
@@ -156,6 +164,8 @@
 		}
 		return r.reject(c, http.StatusBadRequest, "body_broken")
 	}
+	c.held = int64(len(c.body))
+	r.held.Add(c.held)
 	c.settle(r.o.Clock.Now())
 	return true
 }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/cpulag"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/intake"
@@ -45,6 +46,8 @@
 	Servers        laburnumring.ServerLister
 	// Retry bounds repeated sends of each service at this router.
 	Retry retrycap.Options
+	// MaxHeld bounds the bytes of bodies that are held at a time; 0 for no bound.
+	MaxHeld int64
 	// Grace is the time from the request to stop until the process must have ended.
 	Grace time.Duration
 	// Logger takes events.
@@ -57,6 +60,10 @@
 const (
 	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
 	pollInterval = 10 * time.Millisecond
+	// maxLag and calmLag are the mean lateness of the poll's timer from which on new connections should go elsewhere,
+	// and below which they may come again. A tenth of a second is what a quota of processor time can take by itself.
+	maxLag  = 150 * clock.Millis(1)
+	calmLag = 40 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -89,7 +96,11 @@
 	stopping atomic.Int64
 	// inbound counts callers' requests that have not been answered.
 	inbound atomic.Int64
-	count   atomic.Int64
+	// held counts the bytes of the bodies of those.
+	held atomic.Int64
+	// overloaded says that the process gets too little processor time.
+	overloaded atomic.Bool
+	count      atomic.Int64
 	// background owns the checks of servers.
 	background sync.WaitGroup
 
@@ -201,7 +212,9 @@
 func (r *Router) Requests() int64 { return r.count.Load() }
 
 // Ready reports whether new connections should come to this router.
-func (r *Router) Ready() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
+func (r *Router) Ready() bool {
+	return r.stopping.Load() == 0 && r.table.Load() != nil && !r.overloaded.Load()
+}
 
 // accepting reports whether a request that has just been read may still be served.
 func (r *Router) accepting(now clock.Millis) bool {
@@ -211,7 +224,13 @@
 
 // poll looks at the waiting requests again and again.
 func (r *Router) poll(ctx context.Context) {
+	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag})
 	interval.Every(ctx, pollInterval, func() {
+		if lag.Fired(r.o.Clock.Now(), clock.FromDuration(pollInterval)) {
+			r.overloaded.Store(lag.Overloaded())
+			r.o.Logger.Log(event.OverloadChanged, "overloaded", lag.Overloaded(), "late_ms", int64(lag.Late()),
+				"in_progress", r.inbound.Load())
+		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.decide()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -26,6 +26,7 @@
 	PeerMessageBad      = Event{2014, log.WarnLevel, "peer message ignored"}
 	PeerAsked           = Event{2015, log.InfoLevel, "state taken from a peer"}
 	SettingsReloaded    = Event{1007, log.InfoLevel, "settings read again"}
+	OverloadChanged     = Event{1009, log.WarnLevel, "processor overload changed"}
 	LinesDropped        = Event{1008, log.WarnLevel, "log lines dropped"}
 	AgentReady          = Event{3001, log.InfoLevel, "agent ready"}
 	AgentSilent         = Event{3002, log.WarnLevel, "agent silent"}
@@ -70,7 +71,7 @@
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotLeveled,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerAsked,
-		SettingsReloaded, LinesDropped,
+		SettingsReloaded, LinesDropped, OverloadChanged,
 		RequestPlaced, RequestTurnedAway, RequestEnded, AttemptFailed, ServerMisplaced, ServerUnreachable,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
