explain: Tell a request's story from logs, and let begun streams go on

Cause: an on-call engineer had to search several logs by hand. The first stories told showed streams that broke off after many events and were then refused by their team's share instead of going on elsewhere.

Change: laburnumring explain ID FILE...; a request that a server has begun with is sent on whatever its team received, and is not charged twice.

--- /dev/null
+++ b/internal/commands/explain.go
@@ -0,0 +1,42 @@
+package commands
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/joomcode/errorx"
+
+	"github.com/laburnumring/laburnumring/internal/explain"
+)
+
+func registerExplain(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
+	cmd := app.Command("explain", "Print what logs tell of a request, in the order of time.")
+	id := cmd.Arg("id", "The request's id.").Required().String()
+	files := cmd.Arg("file", "Logs of the processes that may have held it, in logfmt.").Required().Strings()
+	return cmd.FullCommand(), func(context.Context) error {
+		var lines []explain.Line
+		for _, name := range *files {
+			more, err := readLog(name)
+			if err != nil {
+				return err
+			}
+			lines = append(lines, more...)
+		}
+		story := explain.Story(lines, *id)
+		if len(story) == 0 {
+			return fmt.Errorf("no line of %d names the request %q", len(lines), *id)
+		}
+		return explain.Write(env.stdout, story)
+	}
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, errorx.Decorate(err, "read log")
+	}
+	defer func() { _ = f.Close() }()
+	return explain.Read(name, f)
+}
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -142,10 +142,13 @@
 	excess := served > level
 	waited := now - r.Arrived
 	late := float64(now-r.asked)+float64(best.basis.Expected) > goalTime*float64(r.Goal)
+	if best.s != nil && r.Begun {
+		return c.send(now, r, best, v), true
+	}
 	if best.s != nil && !excess && (!late || spare(r, best, svc)) {
 		return c.send(now, r, best, v), true
 	}
-	if excess {
+	if excess && !r.Begun {
 		return withBasis(refuse(r, "over_share", c.shareWait(v, r, level)), best.basis), true
 	}
 	if !reachable {
@@ -261,7 +264,9 @@
 		l.Queued = b.Fresh
 		l.Memory = r.ownTokens() + r.OutputTokens
 		ch.s.keep(now, r)
-		c.ledger.Serve(now, r.Team, r.tokens())
+		if !r.Begun {
+			c.ledger.Serve(now, r.Team, r.tokens())
+		}
 		v.teams = c.ledger.Totals(now)
 	}
 	ch.s.load = ch.s.load.plus(l)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -261,7 +261,7 @@
 		c.Unreachable(now, v.server)
 	case NotRun, Left:
 	}
-	if !v.started && res != Whole && c.engine(v.r.Service) {
+	if !v.started && !v.r.Begun && res != Whole && c.engine(v.r.Service) {
 		c.ledger.Serve(now, v.r.Team, -v.r.tokens())
 	}
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -18,7 +18,7 @@
 // TestDecisions plays scripts of requests and servers. Times are in milliseconds, at=T moves the clock:
 //
 //	servers ID=SERVICE/PLACE/SLOTS...
-//	submit ID team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
+//	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N]
 //
@@ -133,6 +133,7 @@
 		r.Fingerprint = uint64(content)
 	}
 	r.Limit = p.now + clock.Millis(limit)
+	r.Begun = d.HasArg("begun")
 	if arg, ok := d.Arg("prompt"); ok {
 		for _, part := range arg.Vals {
 			name, n, _ := strings.Cut(part, ":")
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -26,6 +26,9 @@
 	Limit clock.Millis
 	// Fingerprint identifies the request's content, however often its caller sends it.
 	Fingerprint uint64
+	// Begun says that a server has begun with the request before: its caller has a part of the answer, and its team was
+	// charged.
+	Begun bool
 	// Tried holds the servers that got the request already.
 	Tried []string
 	// asked is when the caller first asked: before Arrived for a caller that was refused and came back.
