--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,11 @@
 	go run ./examples/docelar >out/docelar.yaml
 	bin/laburnumring config check out/docelar.yaml
 
-.PHONY: bench slopes
+.PHONY: bench slopes platform-build
+
+# Builds as the platform does.
+platform-build:
+	$(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
 bench: build
 	bin/bench
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -62,6 +62,7 @@
 func registerPlatformRouter(app *kingpin.Application, env *environment) (string, func(context.Context) error) {
 	cmd := app.Command("platform-router", "Run a router on an entry VM of the users' platform.")
 	file := cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
+	metrics := cmd.Flag("metrics-port", "The port of the metrics interface.").Default("9464").Uint16()
 	return cmd.FullCommand(), func(ctx context.Context) error {
 		s, err := platform.ReadSettings(*file)
 		if err != nil {
@@ -77,7 +78,7 @@
 		go reloadOnHangup(ctx, logger, *file)
 		r := newDirect(s, logger)
 		go gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
-		return servePlatform(ctx, s, r)
+		return servePlatform(ctx, s, r, *metrics)
 	}
 }
 
@@ -103,7 +104,7 @@
 }
 
 // servePlatform serves callers, the balancer's look and metrics while r runs.
-func servePlatform(ctx context.Context, s platform.Settings, r *direct.Router) error {
+func servePlatform(ctx context.Context, s platform.Settings, r *direct.Router, metricsPort uint16) error {
 	ready := mux.NewRouter()
 	ready.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !r.Ready() {
@@ -125,7 +126,7 @@
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
-			Address: net.JoinHostPort(s.Callers.Addr().String(), strconv.Itoa(int(s.MetricsPort))), Handler: metrics,
+			Address: net.JoinHostPort(s.Callers.Addr().String(), strconv.Itoa(int(metricsPort))), Handler: metrics,
 			CloseTimeout: closeTimeout,
 		},
 	)
