soak, intake: Play real routers under faults, and let strain follow what is seen

Cause: there was no test of whole processes on the platform's interfaces.

Change: cmd/platformsoak runs routers as processes on loopback under kills, stops, pauses, cuts, silence, delays, resets, store faults, faulty servers and changes, and checks what callers and servers see. Strain takes the times to first tokens as they were seen too; a team below 0.6 of a finite level is served though late; a request whose caller left is not sent on; overload is noticed at 90 ms; accepted connections are bounded.

--- /dev/null
+++ b/cmd/platformsoak/main.go
@@ -0,0 +1,65 @@
+// Command platformsoak runs routers as processes on loopback under random faults and prints one JSON object a seed. It
+// exits with status 1 when a promise was broken.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/laburnumring/laburnumring/platform/soak"
+)
+
+func main() {
+	app := kingpin.New("platformsoak", "Runs routers as processes under random faults and checks what they promise.")
+	program := app.Flag("program", "The laburnumring program.").Default("target/laburnumring").String()
+	dir := app.Flag("dir", "Where logs go, a folder a seed.").Default("out/platformsoak").String()
+	seeds := app.Flag("seeds", "How many seeds to play.").Default("1").Uint64()
+	start := app.Flag("seed-start", "The first seed.").Default("1").Uint64()
+	routers := app.Flag("routers", "How many routers run.").Default("3").Int()
+	callers := app.Flag("callers", "How many callers send at a time.").Default("8").Int()
+	faulty := app.Flag("faulty", "How long faults are made.").Default("6s").Duration()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	os.Exit(play(*program, *dir, *start, *seeds, *routers, *callers, *faulty))
+}
+
+// play plays the seeds and returns the exit status.
+func play(program, dir string, start, seeds uint64, routers, callers int, faulty time.Duration) int {
+	out := json.NewEncoder(os.Stdout)
+	sum := soak.Counts{}
+	for seed := start; seed < start+seeds; seed++ {
+		logs := filepath.Join(dir, fmt.Sprint(seed))
+		err := os.MkdirAll(logs, 0o700)
+		var c soak.Counts
+		if err == nil {
+			c, err = soak.Run(soak.Options{
+				Program: program, Dir: logs, Seed: seed, Routers: routers, Callers: callers, Faulty: faulty,
+				Broken: func(promise, detail string) {
+					fmt.Fprintf(os.Stderr, "seed %d: %s: %s\n", seed, promise, detail)
+				},
+			})
+		}
+		if err == nil {
+			err = out.Encode(c)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "platformsoak:", err)
+			return 1
+		}
+		sum.Faults += c.Faults
+		sum.Requests += c.Requests
+		sum.Whole += c.Whole
+		sum.Refused += c.Refused
+		sum.Failed += c.Failed
+		sum.Checks += c.Checks
+		sum.Broken += c.Broken
+	}
+	if err := out.Encode(sum); err != nil || sum.Broken > 0 {
+		return 1
+	}
+	return 0
+}
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -49,6 +49,8 @@
 	// what one takes: its buffers, goroutines and what the kernel holds of a request that was not read.
 	connPart  = 0.25
 	connBytes = 32 << 10
+	// maxConns is the most connections, as a multiple of those from which on they are not kept.
+	maxConns = 2
 	// softConns is the part of the file limit from which on callers' connections are not kept.
 	softConns = 0.4
 	// retryParts is among how many routers the retry budget is divided: twice those of the smallest site, so that
@@ -64,6 +66,10 @@
 	file := cmd.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().String()
 	metrics := cmd.Flag("metrics-port", "The port of the metrics interface.").Default("9464").Uint16()
 	return cmd.FullCommand(), func(ctx context.Context) error {
+		// Before anything else: the signal's default ends the process.
+		hangup := make(chan os.Signal, 1)
+		signal.Notify(hangup, syscall.SIGHUP)
+		defer signal.Stop(hangup)
 		s, err := platform.ReadSettings(*file)
 		if err != nil {
 			return rejected(env, "router", err)
@@ -75,7 +81,7 @@
 		defer lines.Close()
 		logger := event.NewLogger(lines, "logfmt", "router")
 		lines.SetDropped(func(n int64) { logger.Log(event.LinesDropped, "lines", n) })
-		go reloadOnHangup(ctx, logger, *file)
+		go reloadOnHangup(ctx, hangup, logger, *file)
 		r := newDirect(s, logger)
 		go gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
 		return servePlatform(ctx, s, r, *metrics)
@@ -119,10 +125,11 @@
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
+	soft := min(int(softConns*float64(s.MaxFiles)), int(connPart*float64(s.MemoryBytes)/connBytes))
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: min(int(softConns*float64(s.MaxFiles)), int(connPart*float64(s.MemoryBytes)/connBytes)),
+			SoftConns: soft, MaxConns: maxConns * soft,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
@@ -133,10 +140,7 @@
 }
 
 // reloadOnHangup reads the settings again at each SIGHUP, to tell the operator whether they can be used.
-func reloadOnHangup(ctx context.Context, logger *event.Logger, file string) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, logger *event.Logger, file string) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -61,9 +61,11 @@
 	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
 	pollInterval = 10 * time.Millisecond
 	// maxLag and calmLag are the mean lateness of the poll's timer from which on new connections should go elsewhere,
-	// and below which they may come again. A tenth of a second is what a quota of processor time can take by itself.
-	maxLag  = 150 * clock.Millis(1)
+	// and below which they may come again. A quota of processor time that is used up makes a mean of about 50 ms.
+	maxLag  = 90 * clock.Millis(1)
 	calmLag = 40 * clock.Millis(1)
+	// lagMemory is the time constant of that mean: the balancer takes two seconds more to act.
+	lagMemory = 700 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -224,7 +226,7 @@
 
 // poll looks at the waiting requests again and again.
 func (r *Router) poll(ctx context.Context) {
-	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag})
+	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag, Memory: lagMemory})
 	interval.Every(ctx, pollInterval, func() {
 		if lag.Fired(r.o.Clock.Now(), clock.FromDuration(pollInterval)) {
 			r.overloaded.Store(lag.Overloaded())
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -28,6 +29,10 @@
 			r.refuse(c, d)
 			return
 		}
+		if httpserve.CallerGone(c.req.Context()) {
+			r.withdraw(c)
+			return
+		}
 		end := r.attempt(ctx, c, d)
 		r.attempted(c, d, end)
 		if end.final {
@@ -79,6 +84,15 @@
 	return intake.Decision{}, false
 }
 
+// withdraw takes back a decision to send a request whose caller left before.
+func (r *Router) withdraw(c *call) {
+	c.result, c.committed = resultLeft, true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.intake.Ended(r.o.Clock.Now(), c.seq, intake.NotRun)
+	r.decide()
+}
+
 // request returns the request as the decisions see it.
 func (c *call) request() intake.Request {
 	out := c.head.OutputTokens
--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -14,6 +14,11 @@
 // Feed takes bytes and returns the whole events among all that were not returned yet. The result is valid until
 // the next call.
 func (s *Splitter) Feed(p []byte) []byte {
+	if len(s.rest) == 0 && bytes.HasSuffix(p, []byte("\n\n")) {
+		// Most reads end with an event.
+		s.note(p)
+		return p
+	}
 	s.rest = append(s.rest, p...)
 	end := lastEnd(s.rest)
 	if end == 0 {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/netutil"
 
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
@@ -35,6 +36,8 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle; two minutes when zero.
 	IdleTimeout time.Duration
+	// MaxConns is the most connections that are served at a time, others wait unaccepted; 0 for no bound.
+	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
 	SoftConns int
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
@@ -113,6 +116,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.MaxConns > 0 {
+		ln = netutil.LimitListener(ln, l.MaxConns)
+	}
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
 	}
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
 
@@ -42,6 +43,13 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// CallerGone reports whether the caller of the request with this context has closed its connection. net/http ends the
+// context then too, but later where there is no processor time.
+func CallerGone(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && peek.Look(c) == peek.Closed
+}
+
 // wrap returns h and marks that a header arrived whole.
 func (w *watcher) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -18,6 +18,9 @@
 	// case; longTime is the part from which on the request itself is too long to count.
 	spareTime = 0.5
 	longTime  = 0.6
+	// behindShare is the part of its share below which a team's requests are sent though they will be late: the users'
+	// rule of fairness counts what a team got, and half of what others got is the least.
+	behindShare = 0.6
 	// returnedShare is the part of its share up to which a team's returned callers are served.
 	returnedShare = 0.8
 	// spareSlots is the part of an engine's slots that late requests may fill.
@@ -145,7 +148,8 @@
 	if best.s != nil && r.Begun {
 		return c.send(now, r, best, v), true
 	}
-	if best.s != nil && !excess && (!late || spare(r, best, svc)) {
+	behind := !math.IsInf(level, 1) && served < behindShare*level
+	if best.s != nil && !excess && (!late || behind || spare(r, best, svc)) {
 		return c.send(now, r, best, v), true
 	}
 	if excess && !r.Begun {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -197,6 +197,9 @@
 	s.succeeded()
 	if c.engine(v.r.Service) {
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
+		if v.r.Goal > 0 {
+			c.supply(v.r.Service).began(float64(now-v.sent) / float64(v.r.Goal))
+		}
 	}
 }
 
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -13,10 +13,18 @@
 	factor float64
 	// strain is the decayed use of the time that requests have; 1 is what engines should be used up to.
 	strain float64
+	// begun is the decayed time to the first token that was seen, as a part of the goal: with many routers forecasts
+	// miss what the others send meanwhile.
+	begun float64
 	// at is when the factor last moved.
 	at clock.Millis
 }
 
+// began takes the time to a first token as a part of its goal.
+func (s *supply) began(ratio float64) {
+	s.begun += strainWeight * (min(ratio, maxStrain) - s.begun)
+}
+
 // Settings of the supply's control loop.
 const (
 	// beginTarget is the expected time to the first token as a part of the goal, and endTarget the expected time to
@@ -51,6 +59,7 @@
 			s.factor = others
 		}
 	}
+	begin = max(begin, s.begun)
 	s.strain += strainWeight * (min(maxStrain, max(begin/beginTarget, end/endTarget)) - s.strain)
 	if now-s.at < supplyStep {
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -12,11 +12,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
+	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -105,7 +105,8 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if p.o.Clock.Now()-c.idleSince < c.life && c.br.Buffered() == 0 && quiet(c.Conn) {
+		if p.o.Clock.Now()-c.idleSince < c.life && c.br.Buffered() == 0 &&
+			peek.Look(c.Conn) == peek.Quiet {
 			return c, nil
 		}
 		_ = c.Close()
@@ -259,23 +260,3 @@
 		}
 	}
 }
-
-// quiet reports whether an idle connection is open and has nothing to read.
-func quiet(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	clean := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		clean = n <= 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && clean
-}
