--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,11 @@
 	go run ./examples/docelar >out/docelar.yaml
 	bin/laburnumring config check out/docelar.yaml
 
-.PHONY: bench slopes platform-build
+.PHONY: bench slopes platform-build platform-soak
+
+# Runs routers as processes on loopback under random faults; one JSON object a seed, the last line is the sum.
+platform-soak: build platform-build
+	bin/platformsoak --seeds $(SEEDS) --seed-start $(SEED_START)
 
 # Builds as the platform does.
 platform-build:
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -34,7 +34,7 @@
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
-		case err == syscall.EAGAIN: //nolint:errorlint // The call returns the number itself.
+		case err == syscall.EAGAIN:
 			state = Quiet
 		case err == nil && n > 0:
 			state = Readable
