retrycap, direct, intake: Divide the retry burst by the routers there are

Cause: the burst of repeated sends was divided by ten at any site; with 28 routers all together could take nearly three times of it.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -53,9 +54,6 @@
 	maxConns = 2
 	// softConns is the part of the file limit from which on callers' connections are not kept.
 	softConns = 0.4
-	// retryParts is among how many routers the retry budget is divided: twice those of the smallest site, so that
-	// added VMs and restarts stay within it.
-	retryParts = 10
 	// retryCaution is the part of the allowed ratio that a router uses, as its requests and repeats are counted in
 	// windows that do not match the platform's.
 	retryCaution = 0.8
@@ -81,9 +79,15 @@
 		defer lines.Close()
 		logger := event.NewLogger(lines, "logfmt", "router")
 		lines.SetDropped(func(n int64) { logger.Log(event.LinesDropped, "lines", n) })
-		go reloadOnHangup(ctx, hangup, logger, *file)
+		var background sync.WaitGroup
+		defer background.Wait()
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		background.Go(func() { reloadOnHangup(ctx, hangup, logger, *file) })
 		r := newDirect(s, logger)
-		go gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
+		background.Go(func() {
+			gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
+		})
 		return servePlatform(ctx, s, r, *metrics)
 	}
 }
@@ -103,7 +107,7 @@
 			logger.Log(event.PlatformRecordBad, "record", key, "offset", offset, "error", err)
 		}),
 		Retry: retrycap.Options{
-			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst / retryParts,
+			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst,
 		},
 		Grace: s.Grace, Logger: logger, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
 	})
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -119,12 +119,11 @@
 
 // Results of requests, for logs and metrics.
 const (
-	resultWhole    = "whole"
-	resultRefused  = "not_run"
-	resultFailed   = "failed"
-	resultTimeout  = "timeout"
-	resultLeft     = "caller_gone"
-	resultRejected = "rejected"
+	resultWhole   = "whole"
+	resultRefused = "not_run"
+	resultFailed  = "failed"
+	resultTimeout = "timeout"
+	resultLeft    = "caller_gone"
 )
 
 // read takes a request's head and body and finds its route and team. It returns false when it answered already.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -44,7 +44,7 @@
 	// Configurations and Servers are the platform's.
 	Configurations laburnumring.ConfigurationWatcher
 	Servers        laburnumring.ServerLister
-	// Retry bounds repeated sends of each service at this router.
+	// Retry bounds repeated sends of each service: the ratio at this router, the burst at all.
 	Retry retrycap.Options
 	// MaxHeld bounds the bytes of bodies that are held at a time; 0 for no bound.
 	MaxHeld int64
@@ -269,6 +269,10 @@
 	})
 }
 
+// minRetryParts is among how many routers the burst is divided at least: twice those of a small site, so that VMs which
+// are added and routers that have just begun stay within it.
+const minRetryParts = 10
+
 // retryCap returns the bound on a service's repeated sends; callers hold mu.
 func (r *Router) retryCap(service string) *retrycap.Cap {
 	c, ok := r.retries[service]
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -57,8 +57,7 @@
 	newer := m.Configuration > r.text.Version || listRead && m.Roster > r.roster.Revision()
 	if newer && !r.asking {
 		r.asking = true
-		// The call is bounded by peerTimeout, and stops with the process.
-		go r.ask(from)
+		r.background.Go(func() { r.ask(from) })
 	}
 }
 
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -118,7 +118,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.retryCap(c.service).Repeat(r.o.Clock.Now())
+	return r.retryCap(c.service).Repeat(r.o.Clock.Now(), 1/float64(max(minRetryParts, 2*(1+len(r.gossip.Peers())))))
 }
 
 // attempted books the end of an attempt.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -201,7 +201,7 @@
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if isClosed(err) {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
@@ -242,5 +242,3 @@
 	}
 	return true
 }
-
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,90 @@
+package gossip_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/fairshare"
+	"github.com/laburnumring/laburnumring/internal/gossip"
+	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/internal/wallclock"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestRoutersFindEachOther starts three routers of which two know the first alone: soon each has heard all others, and
+// what they say arrives as it was sent.
+func TestRoutersFindEachOther(t *testing.T) {
+	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.MustParseAddrPort(probe.LocalAddr().String()).Port()
+	if err := probe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	sent := gossip.Message{
+		Configuration: 7, RosterAge: gossip.Unread, Suspects: []suspect.Entry{{Fingerprint: 1 << 60, Kind: suspect.Suspected}},
+		Work: intake.Report{
+			Servers: map[string]intake.Load{"m1": {Running: 3, Queued: 4000, Memory: 90_000}},
+			Teams:   map[string]fairshare.Rates{"ann": {Asked: 1234.5, Served: 7}}, Refused: []uint64{1 << 63},
+		},
+	}
+	var mu sync.Mutex
+	got := make(map[netip.Addr]gossip.Message)
+	var exchanges []*gossip.Exchange
+	for i, address := range []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"} {
+		x := gossip.New(gossip.Options{
+			Address: netip.AddrPortFrom(netip.MustParseAddr(address), port), Incarnation: address,
+			Seeds: []netip.Addr{netip.MustParseAddr("127.0.0.1")}, Clock: wallclock.New(),
+			Logger:  event.NewLogger(io.Discard, "logfmt", "test"),
+			Message: func() gossip.Message { return sent },
+			Received: func(from netip.Addr, m gossip.Message) {
+				mu.Lock()
+				defer mu.Unlock()
+				if i == 0 {
+					got[from] = m
+				}
+			},
+		})
+		exchanges = append(exchanges, x)
+		wg.Go(func() {
+			if err := x.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		all := true
+		for _, x := range exchanges {
+			all = all && len(x.Peers()) == 2
+		}
+		if all {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("routers do not find each other")
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	m := got[netip.MustParseAddr("127.0.0.3")]
+	if m.Work.Servers["m1"] != sent.Work.Servers["m1"] || m.Work.Teams["ann"] != sent.Work.Teams["ann"] ||
+		m.Configuration != 7 || m.RosterAge != gossip.Unread || m.Work.Refused[0] != 1<<63 ||
+		m.Suspects[0].Fingerprint != 1<<60 {
+		t.Errorf("received %+v", m)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,8 +3,6 @@
 package intake
 
 import (
-	"maps"
-	"math"
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
@@ -31,23 +29,6 @@
 	started bool
 }
 
-// peerLoad is what a peer said last of its work.
-type peerLoad struct {
-	r  Report
-	at clock.Millis
-}
-
-// Report is what a router tells the others of its work.
-type Report struct {
-	// Servers is what the router has at each server, and Teams its teams' rates.
-	Servers map[string]Load            `cbor:"1,keyasint"`
-	Teams   map[string]fairshare.Rates `cbor:"2,keyasint"`
-	// Supplies holds, by service, by how much the engines give more than the configured throughput.
-	Supplies map[string]float64 `cbor:"3,keyasint"`
-	// Refused holds the fingerprints of the requests that the router refused just now.
-	Refused []uint64 `cbor:"4,keyasint"`
-}
-
 // Controller holds the waiting and running requests of one router. It is used by one goroutine at a time.
 type Controller struct {
 	o      Options
@@ -283,106 +264,6 @@
 	s.pace += paceWeight * float64(events) * (pause - s.pace)
 }
 
-// Report returns what the other routers are to know.
-func (c *Controller) Report(now clock.Millis) Report {
-	out := Report{
-		Servers: make(map[string]Load), Teams: c.ledger.Report(now), Supplies: make(map[string]float64),
-		Refused: c.returns.news(now),
-	}
-	for id, s := range c.servers {
-		if s.load.Running > 0 {
-			out.Servers[id] = s.load
-		}
-	}
-	for service, s := range c.supplies {
-		if s.factor > 0 {
-			out.Supplies[service] = s.factor
-		}
-	}
-	return out
-}
-
-// Merge takes a peer's report in place of its former one.
-func (c *Controller) Merge(now clock.Millis, peer string, r Report) {
-	for _, f := range r.Refused {
-		c.returns.learn(now, f)
-	}
-	r.Refused = nil
-	c.peers[peer] = peerLoad{r: r, at: now}
-	c.ledger.Merge(now, peer, r.Teams)
-}
-
-// othersSupply returns the mean factor of the other routers; 0 when none told one.
-func (c *Controller) othersSupply(service string) float64 {
-	sum, n := 0.0, 0
-	// A fixed order makes the sum repeat.
-	for _, peer := range slices.Sorted(maps.Keys(c.peers)) {
-		if f, ok := c.peers[peer].r.Supplies[service]; ok {
-			sum += f
-			n++
-		}
-	}
-	return sum / float64(max(1, n))
-}
-
-// view is what the decisions of one moment have in common.
-type view struct {
-	// loads holds all routers' load of each server.
-	loads map[string]Load
-	// teams holds the teams' rates, and levels the max-min share by service; infinite when there is enough for all.
-	teams   map[string]fairshare.Rates
-	levels  map[string]float64
-	peerAge clock.Millis
-}
-
-func (c *Controller) view(now clock.Millis) *view {
-	v := &view{loads: make(map[string]Load, len(c.servers)), teams: c.ledger.Totals(now), levels: make(map[string]float64)}
-	for id, s := range c.servers {
-		v.loads[id] = s.load
-	}
-	for peer, p := range c.peers {
-		if now-p.at > peerLife {
-			delete(c.peers, peer)
-			continue
-		}
-		v.peerAge = max(v.peerAge, now-p.at)
-		for id, l := range p.r.Servers {
-			v.loads[id] = v.loads[id].plus(l)
-		}
-	}
-	return v
-}
-
-// level returns the max-min share of a service's engines. What a team received while there was enough for all is
-// held against it up to a little more than the share.
-func (c *Controller) level(now clock.Millis, v *view, service string) float64 {
-	if l, ok := v.levels[service]; ok {
-		return l
-	}
-	l := math.Inf(1)
-	if t := c.table.Limits().TokensPerSecond; t > 0 {
-		l = fairshare.Level(c.supply(service).times(t), v.teams)
-	}
-	if !math.IsInf(l, 1) {
-		c.ledger.Forgive(now, maxDebt*l, v.teams)
-		v.teams = c.ledger.Totals(now)
-	}
-	v.levels[service] = l
-	return l
-}
-
-// maxDebt is the most that is held against a team, as a part of its share.
-const maxDebt = 1.3
-
-func (c *Controller) supply(service string) *supply {
-	s, ok := c.supplies[service]
-	if !ok {
-		s = &supply{}
-		c.supplies[service] = s
-	}
-	return s
-}
-
 func (c *Controller) engine(service string) bool {
 	if c.table == nil {
 		return false
--- a/internal/retrycap/retrycap.go
+++ b/internal/retrycap/retrycap.go
@@ -13,7 +13,7 @@
 	Window clock.Millis
 	// Ratio is the part of the window's requests that may be sent once more.
 	Ratio float64
-	// Burst is how many more sends each window allows.
+	// Burst is how many more sends each window allows all routers together.
 	Burst float64
 }
 
@@ -34,11 +34,11 @@
 	c.requests = append(trim(c.requests, now-c.o.Window), now)
 }
 
-// Repeat takes one repeated send and reports whether there was room.
-func (c *Cap) Repeat(now clock.Millis) bool {
+// Repeat takes one repeated send of a router which has the given part of the burst, and reports whether there was room.
+func (c *Cap) Repeat(now clock.Millis, part float64) bool {
 	c.requests = trim(c.requests, now-c.o.Window)
 	c.repeats = trim(c.repeats, now-c.o.Window)
-	if float64(len(c.repeats)+1) > c.o.Ratio*float64(len(c.requests))+c.o.Burst {
+	if float64(len(c.repeats)+1) > c.o.Ratio*float64(len(c.requests))+part*c.o.Burst {
 		return false
 	}
 	c.repeats = append(c.repeats, now)
--- a/internal/retrycap/retrycap_test.go
+++ b/internal/retrycap/retrycap_test.go
@@ -13,7 +13,7 @@
 func TestEveryWindow(t *testing.T) {
 	const window = 1000
 	rapid.Check(t, func(t *rapid.T) {
-		c := retrycap.New(retrycap.Options{Window: window, Ratio: 0.2, Burst: 3})
+		c := retrycap.New(retrycap.Options{Window: window, Ratio: 0.2, Burst: 30})
 		var requests, repeats []clock.Millis
 		now := clock.Millis(0)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
@@ -23,7 +23,7 @@
 				requests = append(requests, now)
 				continue
 			}
-			if !c.Repeat(now) {
+			if !c.Repeat(now, 0.1) {
 				continue
 			}
 			repeats = append(repeats, now)
