direct: Bound what is remembered of broken-off requests

Cause: the final read: a server that breaks off request after request and stays reachable kept all of them in memory until it was calm for 1.5 s.

Change: what is older than that is dropped at each break.

The memory is seen by reading, not measured.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 plots: build
 	bin/plots
 
-check: format lint build test examples
+check: format lint build platform-build test examples
 
 $(GOLANGCI):
 	GOBIN=$(CURDIR)/.tools go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/laburnumring/laburnumring"
@@ -145,14 +146,18 @@
 // breakWindow is how long before it was found dead a server may have broken off the requests that it ran.
 const breakWindow = 1500 * clock.Millis(1)
 
+// checkPause is the least time between two looks at whether a server is still there.
+const checkPause = 150 * clock.Millis(1)
+
 // suspectServer notes that a server broke off a request, and finds out whether it is still there.
 func (r *Router) suspectServer(c *call, d intake.Decision) {
 	now := r.o.Clock.Now()
 	address := d.Server.Address
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.breaks[address] = append(r.breaks[address], broken{fingerprint: c.fingerprint, server: d.Server.ID, at: now})
-	if len(r.breaks[address]) > 1 && now-r.breaks[address][len(r.breaks[address])-2].at < breakWindow/10 {
+	recent := slices.DeleteFunc(r.breaks[address], func(b broken) bool { return now-b.at > breakWindow })
+	r.breaks[address] = append(recent, broken{fingerprint: c.fingerprint, server: d.Server.ID, at: now})
+	if len(recent) > 0 && now-recent[len(recent)-1].at < checkPause {
 		return
 	}
 	r.background.Go(func() {
