--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -174,7 +174,6 @@
 	v.started = true
 	s := c.servers[v.server]
 	s.load.Queued -= v.load.Queued
-	s.heard = now
 	s.succeeded()
 	if c.engine(v.r.Service) {
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -36,8 +36,6 @@
 	// blockedUntil is until when the server gets nothing, and backoff how long the next block lasts.
 	blockedUntil clock.Millis
 	backoff      clock.Millis
-	// heard is when the server last sent anything.
-	heard clock.Millis
 }
 
 // Bounds of what is held against a server.
