direct, intake, upstream: Drop dead fields and one twin

Change: the fields are gone, the rank is taken once, slotsOf serves both. Behaviour is the same and no test changed.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -45,8 +45,9 @@
 	for _, e := range m.Suspects {
 		r.suspects.Merge(now, e)
 	}
-	r.configurationReads.Rank(r.rank())
-	r.listReads.Rank(r.rank())
+	rank := r.rank()
+	r.configurationReads.Rank(rank)
+	r.listReads.Rank(rank)
 	if m.ConfigurationAge >= 0 && m.Configuration == r.text.Version {
 		r.configurationReads.Confirmed(now, m.ConfigurationAge)
 	}
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -66,7 +66,7 @@
 	}
 	svc, _ := c.table.Service(r.Service)
 	if !svc.Engine {
-		return c.decidePlain(now, r, v, pool)
+		return c.decidePlain(now, r, v, pool, svc)
 	}
 	return c.decideEngine(now, r, v, pool, svc)
 }
@@ -77,15 +77,14 @@
 
 // decidePlain spreads calls to servers with few slots, which refuse what they cannot queue, by the load that all
 // routers put on them.
-func (c *Controller) decidePlain(now clock.Millis, r Request, v *view, pool []*server) (Decision, bool) {
+func (c *Controller) decidePlain(
+	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
+) (Decision, bool) {
 	best := choice{score: math.Inf(1)}
 	usual := usualLatency(pool)
 	for _, s := range pool {
 		l := v.loads[s.entry.ID]
-		slots := s.entry.Slots
-		if slots == 0 {
-			slots = defaultSlots
-		}
+		slots := slotsOf(svc, s)
 		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) || l.Running >= slots+queueSlots {
 			continue
 		}
@@ -179,7 +178,7 @@
 		begins -= ch.alone
 	}
 	return float64(begins) <= spareTime*float64(r.Goal) &&
-		float64(ch.basis.Running) < spareSlots*float64(engineSlots(svc, ch.s))
+		float64(ch.basis.Running) < spareSlots*float64(slotsOf(svc, ch.s))
 }
 
 func withBasis(d Decision, b Basis) Decision {
@@ -203,7 +202,7 @@
 		l := v.loads[s.entry.ID]
 		fresh := s.fresh(now, r, s == home)
 		own := r.ownTokens()
-		if l.Running >= engineSlots(svc, s) ||
+		if l.Running >= slotsOf(svc, s) ||
 			svc.Memory > 0 && l.Running > 0 && l.Memory+own > int64(memoryFill*float64(svc.Memory)) {
 			continue
 		}
@@ -225,7 +224,8 @@
 	return best, reachable
 }
 
-func engineSlots(svc routing.Service, s *server) int {
+// slotsOf returns how many requests a server runs at once, by its own word or the configuration's.
+func slotsOf(svc routing.Service, s *server) int {
 	for _, n := range []int{s.entry.Slots, svc.Slots} {
 		if n > 0 {
 			return n
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,8 +94,6 @@
 	// idleSince is when the last response ended, and life how long after that the connection may be used.
 	idleSince clock.Millis
 	life      clock.Millis
-	// reused says that a request was sent on the connection before.
-	reused bool
 }
 
 // Get returns a connection to address, the last used that is clean. Its errors are of type *DialError.
@@ -193,7 +191,6 @@
 		_ = c.Close()
 		return
 	}
-	c.reused = true
 	c.life = p.o.IdleLife
 	if s, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.life = max(0, s-idleMargin)
