intake, fairshare: Keep the sums of peers' reports up to date

Cause: each decision added up the reports of all peers anew, servers times routers: 142 us of processor time with 27 peers, 51 engines and 30 teams, which is dear on routers of a seventh of a core. Ruled out: sums that are taken less often, as decisions would rest on older reports. Change: a report is taken out of the sums and its successor put in as it comes. The sums are integers, so that nothing is left over.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -3,7 +3,6 @@
 package fairshare
 
 import (
-	"maps"
 	"math"
 	"slices"
 
@@ -54,9 +53,28 @@
 	own map[string]*tally
 	// peers holds the peers' last reports by peer.
 	peers map[string]report
-	// others is the sum of the peers' reports, valid until the given time; nil when it must be taken anew.
-	others      map[string]Rates
-	othersUntil clock.Millis
+	// others is the sum of the peers' reports, of which none lapses before the given time.
+	others map[string]sum
+	lapse  clock.Millis
+}
+
+// sum adds rates up in thousandths of a token, so that adding and taking away leaves no rest.
+type sum struct {
+	asked  int64
+	served int64
+	n      int
+}
+
+const thousand = 1000
+
+func (s sum) add(r Rates, n int) sum {
+	return sum{
+		asked: s.asked + int64(n)*int64(thousand*r.Asked), served: s.served + int64(n)*int64(thousand*r.Served), n: s.n + n,
+	}
+}
+
+func (s sum) rates() Rates {
+	return Rates{Asked: float64(s.asked) / thousand, Served: float64(s.served) / thousand}
 }
 
 // New returns a ledger without teams.
@@ -67,7 +85,7 @@
 	if o.PeerLife == 0 {
 		o.PeerLife = defaultPeerLife
 	}
-	return &Ledger{o: o, own: make(map[string]*tally), peers: make(map[string]report)}
+	return &Ledger{o: o, own: make(map[string]*tally), peers: make(map[string]report), others: make(map[string]sum)}
 }
 
 // Ask counts tokens that team asked for.
@@ -83,11 +101,12 @@
 
 // Forgive lowers what this router served to teams that received more than limit fleet-wide, each router in
 // proportion, so that what they received in idle times is not held against them for long. Teams are the fleet-wide
-// rates.
+// rates, and are brought up to date.
 func (l *Ledger) Forgive(now clock.Millis, limit float64, teams map[string]Rates) {
 	for name, total := range teams {
 		if _, ok := l.own[name]; ok && total.Served > limit {
 			l.team(now, name).rates.Served *= limit / total.Served
+			teams[name] = l.Total(now, name)
 		}
 	}
 }
@@ -109,8 +128,23 @@
 
 // Merge takes a peer's report in place of its former one.
 func (l *Ledger) Merge(now clock.Millis, peer string, teams map[string]Rates) {
+	l.count(l.peers[peer].teams, -1)
+	if len(l.peers) == 0 {
+		l.lapse = now + l.o.PeerLife
+	}
 	l.peers[peer] = report{teams: teams, at: now}
-	l.others = nil
+	l.count(teams, 1)
+}
+
+// count adds a report n times to the sum.
+func (l *Ledger) count(teams map[string]Rates, n int) {
+	for name, r := range teams {
+		if s := l.others[name].add(r, n); s.n > 0 {
+			l.others[name] = s
+		} else {
+			delete(l.others, name)
+		}
+	}
 }
 
 // Level returns the max-min share of capacity in tokens per second: teams that ask for less are owed all, the
@@ -134,30 +168,40 @@
 
 // Totals returns all teams' fleet-wide rates.
 func (l *Ledger) Totals(now clock.Millis) map[string]Rates {
-	if l.others == nil || now > l.othersUntil {
-		l.sumOthers(now)
+	l.expire(now)
+	out := make(map[string]Rates, max(len(l.others), len(l.own)))
+	for name, s := range l.others {
+		out[name] = s.rates()
 	}
-	out := maps.Clone(l.others)
 	for name := range l.own {
 		out[name] = out[name].plus(l.team(now, name).rates)
 	}
 	return out
 }
 
-// sumOthers adds up what peers reported lately, in a fixed order, so that the sums repeat.
-func (l *Ledger) sumOthers(now clock.Millis) {
-	l.others = make(map[string]Rates)
-	l.othersUntil = now + l.o.PeerLife
-	for _, peer := range slices.Sorted(maps.Keys(l.peers)) {
-		p := l.peers[peer]
-		if now-p.at > l.o.PeerLife {
+// Total returns one team's fleet-wide rates.
+func (l *Ledger) Total(now clock.Millis, team string) Rates {
+	l.expire(now)
+	out := l.others[team].rates()
+	if _, ok := l.own[team]; ok {
+		out = out.plus(l.team(now, team).rates)
+	}
+	return out
+}
+
+// expire drops the reports that are too old.
+func (l *Ledger) expire(now clock.Millis) {
+	if len(l.peers) == 0 || now <= l.lapse {
+		return
+	}
+	l.lapse = now + l.o.PeerLife
+	for peer, r := range l.peers {
+		if now-r.at > l.o.PeerLife {
+			l.count(r.teams, -1)
 			delete(l.peers, peer)
 			continue
 		}
-		l.othersUntil = min(l.othersUntil, p.at+l.o.PeerLife)
-		for name, r := range p.teams {
-			l.others[name] = l.others[name].plus(r)
-		}
+		l.lapse = min(l.lapse, r.at+l.o.PeerLife)
 	}
 }
 
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -83,7 +83,7 @@
 	best := choice{score: math.Inf(1)}
 	usual := usualLatency(pool)
 	for _, s := range pool {
-		l := v.loads[s.entry.ID]
+		l := c.load(s)
 		slots := slotsOf(svc, s)
 		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) || l.Running >= slots+queueSlots {
 			continue
@@ -135,7 +135,7 @@
 	}
 	if best.s != nil && r.Goal > 0 {
 		c.supply(r.Service).observe(now, float64(best.basis.Expected)/float64(r.Goal),
-			best.end(r, svc)/float64(r.Limit-r.Arrived), c.othersSupply(r.Service))
+			best.end(r, svc)/float64(r.Limit-r.Arrived), c.peers.supply(r.Service))
 	}
 	if r.returned() {
 		// Requests that can still be on time go first.
@@ -199,7 +199,7 @@
 			continue
 		}
 		reachable = true
-		l := v.loads[s.entry.ID]
+		l := c.load(s)
 		fresh := s.fresh(now, r, s == home)
 		own := r.ownTokens()
 		if l.Running >= slotsOf(svc, s) ||
@@ -271,10 +271,9 @@
 		if !r.Begun {
 			c.ledger.Serve(now, r.Team, r.tokens())
 		}
-		v.teams = c.ledger.Totals(now)
+		v.teams[r.Team] = c.ledger.Total(now, r.Team)
 	}
 	ch.s.load = ch.s.load.plus(l)
-	v.loads[ch.s.entry.ID] = v.loads[ch.s.entry.ID].plus(l)
 	c.runs[r.ID] = &run{r: r, server: ch.s.entry.ID, load: l, ahead: b.Queued + b.Fresh, sent: now}
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -49,12 +49,9 @@
 	// returns knows who was refused lately.
 	returns returns
 	// peers holds the peers' last reports.
-	peers map[string]peerLoad
+	peers peers
 }
 
-// peerLife is how long a peer's report counts: several periods of the exchange.
-const peerLife = 1500 * clock.Millis(1)
-
 // New returns a controller without servers.
 func New(o Options) *Controller {
 	return &Controller{
@@ -62,7 +59,7 @@
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), runs: make(map[int64]*run),
 		supplies: make(map[string]*supply), returns: returns{refused: make(map[uint64]clock.Millis)},
-		peers: make(map[string]peerLoad),
+		peers: newPeers(),
 	}
 }
 
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -1,20 +1,12 @@
 package intake
 
 import (
-	"maps"
 	"math"
-	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
-// peerLoad is what a peer said last of its work.
-type peerLoad struct {
-	r  Report
-	at clock.Millis
-}
-
 // Report is what a router tells the others of its work.
 type Report struct {
 	// Servers is what the router has at each server, and Teams its teams' rates.
@@ -50,28 +42,12 @@
 	for _, f := range r.Refused {
 		c.returns.learn(now, f)
 	}
-	r.Refused = nil
-	c.peers[peer] = peerLoad{r: r, at: now}
+	c.peers.merge(now, peer, r)
 	c.ledger.Merge(now, peer, r.Teams)
 }
 
-// othersSupply returns the mean factor of the other routers; 0 when none told one.
-func (c *Controller) othersSupply(service string) float64 {
-	sum, n := 0.0, 0
-	// A fixed order makes the sum repeat.
-	for _, peer := range slices.Sorted(maps.Keys(c.peers)) {
-		if f, ok := c.peers[peer].r.Supplies[service]; ok {
-			sum += f
-			n++
-		}
-	}
-	return sum / float64(max(1, n))
-}
-
 // view is what the decisions of one moment have in common.
 type view struct {
-	// loads holds all routers' load of each server.
-	loads map[string]Load
 	// teams holds the teams' rates, and levels the max-min share by service; infinite when there is enough for all.
 	teams   map[string]fairshare.Rates
 	levels  map[string]float64
@@ -79,23 +55,12 @@
 }
 
 func (c *Controller) view(now clock.Millis) *view {
-	v := &view{loads: make(map[string]Load, len(c.servers)), teams: c.ledger.Totals(now), levels: make(map[string]float64)}
-	for id, s := range c.servers {
-		v.loads[id] = s.load
-	}
-	for peer, p := range c.peers {
-		if now-p.at > peerLife {
-			delete(c.peers, peer)
-			continue
-		}
-		v.peerAge = max(v.peerAge, now-p.at)
-		for id, l := range p.r.Servers {
-			v.loads[id] = v.loads[id].plus(l)
-		}
-	}
-	return v
+	return &view{teams: c.ledger.Totals(now), levels: make(map[string]float64, 1), peerAge: c.peers.expire(now)}
 }
 
+// load returns all routers' load of a server.
+func (c *Controller) load(s *server) Load { return s.load.plus(c.peers.loads[s.entry.ID]) }
+
 // level returns the max-min share of a service's engines. What a team received while there was enough for all is
 // held against it up to a little more than the share.
 func (c *Controller) level(now clock.Millis, v *view, service string) float64 {
@@ -108,7 +73,6 @@
 	}
 	if !math.IsInf(l, 1) {
 		c.ledger.Forgive(now, maxDebt*l, v.teams)
-		v.teams = c.ledger.Totals(now)
 	}
 	v.levels[service] = l
 	return l
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -20,6 +20,10 @@
 	return Load{Running: l.Running + o.Running, Queued: l.Queued + o.Queued, Memory: l.Memory + o.Memory}
 }
 
+func (l Load) minus(o Load) Load {
+	return Load{Running: l.Running - o.Running, Queued: l.Queued - o.Queued, Memory: l.Memory - o.Memory}
+}
+
 // server is one backend server and what this router knows of it.
 type server struct {
 	entry laburnumring.ServerEntry
