httpserve, direct, rotation, intake: Keep small routers alive under a flood

Cause: a team that floods comes from few callers, whom the balancer's hash sends to one or two routers. Routers of a seventh of a core got 300 to 1000 requests a second and fell seconds behind: requests were sent on long after their callers had left (GONE). Two faults made it worse: the check for callers that left never worked with a bound on connections, as the library's listener hides the socket, and it did not see a close behind unread bytes; and four of six routers of a place left the rotation together, after which the balancer uses all again. Change: own bound on connections that keeps the socket; poll for the peer's close; the check comes after connecting, just before the send. Routers tell each other their place, size and overload; at most half of a place's routers leave the rotation, the smallest first, and end their connections. A router whose timers are 40 ms late refuses streams with a short Retry-After (other routers take them), and lets new connections wait. Ruled out: stale forecasts; the requests were read late. TestCallerGone failed before.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -109,7 +109,7 @@
 		Retry: retrycap.Options{
 			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst,
 		},
-		Grace: s.Grace, Logger: logger, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
+		Grace: s.Grace, Capacity: s.Capacity, Logger: logger, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
 	})
 }
 
@@ -133,7 +133,7 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: maxConns * soft,
+			SoftConns: soft, MaxConns: maxConns * soft, Busy: r.Busy,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/upstream"
@@ -47,6 +48,10 @@
 		}
 		return ending{result: intake.Left, err: err}
 	}
+	if httpserve.CallerGone(c.req.Context()) {
+		r.pool.Keep(conn)
+		return c.left(errors.New("caller left before the request was sent"))
+	}
 	// Closing the connection is what makes a server stop when the caller leaves.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -54,6 +59,7 @@
 	r.logPlaced(now, c, d)
 	out := r.outgoing(now, c, d)
 	c.sends++
+	r.metrics.sends.WithLabelValues(c.service, sendOrder(c.sends)).Inc()
 	if c.sends == 1 {
 		r.mu.Lock()
 		r.retryCap(c.service).Request(now)
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/eventstream"
+	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/internal/suspect"
@@ -80,6 +81,11 @@
 	r.inbound.Add(1)
 	defer r.inbound.Add(-1)
 	c := &call{w: w, req: req, seq: r.count.Add(1)}
+	if r.busy.Load() && httpserve.CallerGone(req.Context()) {
+		// The request was read too late to be of use.
+		r.metrics.ended.WithLabelValues("", "", resultLeft).Inc()
+		panic(http.ErrAbortHandler)
+	}
 	// An earlier request of the connection may have left a deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
 	defer func() {
@@ -129,7 +135,7 @@
 // read takes a request's head and body and finds its route and team. It returns false when it answered already.
 func (r *Router) read(c *call) bool {
 	now := r.o.Clock.Now()
-	if r.stopping.Load() != 0 {
+	if r.stopping.Load() != 0 || r.away.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
 	if !r.accepting(now) {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -20,6 +20,7 @@
 	"github.com/laburnumring/laburnumring/internal/readshare"
 	"github.com/laburnumring/laburnumring/internal/retrycap"
 	"github.com/laburnumring/laburnumring/internal/roster"
+	"github.com/laburnumring/laburnumring/internal/rotation"
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/upstream"
@@ -48,6 +49,8 @@
 	Retry retrycap.Options
 	// MaxHeld bounds the bytes of bodies that are held at a time; 0 for no bound.
 	MaxHeld int64
+	// Capacity is the router's processor time in thousandths of a core; 0 when it is not known.
+	Capacity int
 	// Grace is the time from the request to stop until the process must have ended.
 	Grace time.Duration
 	// Logger takes events.
@@ -66,6 +69,11 @@
 	calmLag = 40 * clock.Millis(1)
 	// lagMemory is the time constant of that mean: the balancer takes two seconds more to act.
 	lagMemory = 700 * clock.Millis(1)
+	// busyLag, freeLag and busyMemory are the same for the refusal of streams, which must come before they are late: a
+	// request waits for the processor some five times until its first event.
+	busyLag    = 40 * clock.Millis(1)
+	freeLag    = 15 * clock.Millis(1)
+	busyMemory = 150 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -100,9 +108,11 @@
 	inbound atomic.Int64
 	// held counts the bytes of the bodies of those.
 	held atomic.Int64
-	// overloaded says that the process gets too little processor time.
-	overloaded atomic.Bool
-	count      atomic.Int64
+	// away says that new connections should go to other routers.
+	away atomic.Bool
+	// busy says that the process has too little processor time for what is in progress.
+	busy  atomic.Bool
+	count atomic.Int64
 	// background owns the checks of servers.
 	background sync.WaitGroup
 
@@ -112,6 +122,9 @@
 	roster   *roster.Roster
 	intake   *intake.Controller
 	suspects *suspect.List
+	rotation *rotation.Controller
+	// overloaded says that the process gets too little processor time.
+	overloaded bool
 	// told is the last older suspect that peers were told of.
 	told    uint64
 	retries map[string]*retrycap.Cap
@@ -140,8 +153,10 @@
 	r := &Router{
 		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
 		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
-		suspects: suspect.New(suspect.Options{}), retries: make(map[string]*retrycap.Cap),
-		calls: make(map[int64]*call), breaks: make(map[string][]broken),
+		suspects: suspect.New(suspect.Options{}),
+		rotation: rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
+		retries:  make(map[string]*retrycap.Cap),
+		calls:    make(map[int64]*call), breaks: make(map[string][]broken),
 		listReads: readshare.New(readshare.Options{
 			Readers: listReaders, Interval: listInterval, MaxAge: maxListAge, Stagger: readStagger,
 		}),
@@ -214,8 +229,19 @@
 func (r *Router) Requests() int64 { return r.count.Load() }
 
 // Ready reports whether new connections should come to this router.
-func (r *Router) Ready() bool {
-	return r.stopping.Load() == 0 && r.table.Load() != nil && !r.overloaded.Load()
+func (r *Router) Ready() bool { return r.serving() && !r.away.Load() }
+
+// Busy reports whether the process has too little processor time for what is in progress.
+func (r *Router) Busy() bool { return r.busy.Load() }
+
+// serving reports whether the router has a configuration and does not stop.
+func (r *Router) serving() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
+
+// state returns what the other routers are told of this one; callers hold mu.
+func (r *Router) state() rotation.State {
+	return rotation.State{
+		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.overloaded || r.away.Load(),
+	}
 }
 
 // accepting reports whether a request that has just been read may still be served.
@@ -224,17 +250,28 @@
 	return s == 0 || now < s+acceptTime
 }
 
-// poll looks at the waiting requests again and again.
+// poll looks at the waiting requests and at the processor's load again and again.
 func (r *Router) poll(ctx context.Context) {
 	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag, Memory: lagMemory})
+	short := cpulag.New(cpulag.Options{Enter: busyLag, Leave: freeLag, Memory: busyMemory})
 	interval.Every(ctx, pollInterval, func() {
-		if lag.Fired(r.o.Clock.Now(), clock.FromDuration(pollInterval)) {
-			r.overloaded.Store(lag.Overloaded())
-			r.o.Logger.Log(event.OverloadChanged, "overloaded", lag.Overloaded(), "late_ms", int64(lag.Late()),
-				"in_progress", r.inbound.Load())
-		}
+		now := r.o.Clock.Now()
+		changed := lag.Fired(now, clock.FromDuration(pollInterval))
+		short.Fired(now, clock.FromDuration(pollInterval))
+		others := len(r.gossip.Peers()) > 0
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.overloaded = lag.Overloaded()
+		r.busy.Store(short.Overloaded())
+		r.intake.SetBusy(others && short.Overloaded())
+		s := r.state()
+		s.Overloaded = r.overloaded
+		away := r.rotation.Away(now, s)
+		if changed || away != r.away.Load() {
+			r.o.Logger.Log(event.OverloadChanged, "overloaded", r.overloaded, "late_ms", int64(lag.Late()),
+				"takes_connections", !away, "in_progress", r.inbound.Load())
+		}
+		r.away.Store(away)
 		r.decide()
 	})
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -32,7 +32,7 @@
 	return gossip.Message{
 		Configuration: r.text.Version, Roster: r.roster.Revision(),
 		ConfigurationAge: ageOf(now, r.configurationReads), RosterAge: ageOf(now, r.listReads),
-		Work: r.intake.Report(now), Suspects: entries,
+		Work: r.intake.Report(now), Suspects: entries, State: r.state(),
 	}
 }
 
@@ -42,6 +42,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.intake.Merge(now, from.String(), m.Work)
+	r.rotation.Merge(now, from.String(), m.State)
 	for _, e := range m.Suspects {
 		r.suspects.Merge(now, e)
 	}
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring/internal/event"
-	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -29,10 +28,6 @@
 			r.refuse(c, d)
 			return
 		}
-		if httpserve.CallerGone(c.req.Context()) {
-			r.withdraw(c)
-			return
-		}
 		end := r.attempt(ctx, c, d)
 		r.attempted(c, d, end)
 		if end.final {
@@ -84,15 +79,6 @@
 	return intake.Decision{}, false
 }
 
-// withdraw takes back a decision to send a request whose caller left before.
-func (r *Router) withdraw(c *call) {
-	c.result, c.committed = resultLeft, true
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.intake.Ended(r.o.Clock.Now(), c.seq, intake.NotRun)
-	r.decide()
-}
-
 // request returns the request as the decisions see it.
 func (c *call) request() intake.Request {
 	out := c.head.OutputTokens
@@ -124,9 +110,6 @@
 // attempted books the end of an attempt.
 func (r *Router) attempted(c *call, d intake.Decision, end ending) {
 	now := r.o.Clock.Now()
-	if end.result != intake.Unreachable {
-		r.metrics.sends.WithLabelValues(c.service, sendOrder(c.sends)).Inc()
-	}
 	if end.err != nil && end.result != intake.Left {
 		r.o.Logger.Log(event.AttemptFailed, "id", c.head.ID, "server", d.Server.ID, "send", c.sends,
 			"after_ms", int64(now-c.arrived), "delivered_event", c.events.Last(), "error", end.err)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
+	"github.com/laburnumring/laburnumring/internal/rotation"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -37,6 +38,8 @@
 	RosterAge        clock.Millis `cbor:"10,keyasint"`
 	// Work is the sender's load and rates.
 	Work intake.Report `cbor:"7,keyasint"`
+	// State says whether the sender takes new connections.
+	State rotation.State `cbor:"11,keyasint"`
 	// Suspects are the requests that may take servers down.
 	Suspects []suspect.Entry `cbor:"9,keyasint"`
 }
--- /dev/null
+++ b/internal/httpserve/gate_test.go
@@ -0,0 +1,105 @@
+package httpserve_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/laburnumring/laburnumring/internal/httpserve"
+)
+
+// serveConns serves h with a listener that bounds connections, until the test ends.
+func serveConns(t *testing.T, l httpserve.Listener) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Net, l.CloseTimeout = ln, short
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() {
+		served <- httpserve.Serve(ctx, func(ctx context.Context) error { <-ctx.Done(); return nil }, l)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String()
+}
+
+// TestCallerGone finds that a caller has left although it sent more than was read.
+func TestCallerGone(t *testing.T) {
+	arrived, gone := make(chan struct{}), make(chan bool, 1)
+	address := serveConns(t, httpserve.Listener{MaxConns: 8, Handler: http.HandlerFunc(
+		func(_ http.ResponseWriter, r *http.Request) {
+			close(arrived)
+			for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if httpserve.CallerGone(r.Context()) {
+					gone <- true
+					return
+				}
+			}
+			gone <- false
+		})})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body := strings.Repeat("x", 64<<10)
+	if _, err := conn.Write([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + body)); err != nil {
+		t.Fatal(err)
+	}
+	<-arrived
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !<-gone {
+		t.Error("the caller's close was not seen")
+	}
+}
+
+// TestConnections serves no more connections than allowed, and lets new ones wait while the process is busy, but not
+// for ever.
+func TestConnections(t *testing.T) {
+	var busy atomic.Bool
+	var open, most atomic.Int64
+	address := serveConns(t, httpserve.Listener{MaxConns: 2, Busy: busy.Load, Handler: http.HandlerFunc(
+		func(http.ResponseWriter, *http.Request) {
+			most.Store(max(most.Load(), open.Add(1)))
+			time.Sleep(short)
+			open.Add(-1)
+		})})
+	get := func() {
+		hc := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+		resp, err := hc.Get("http://" + address)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_ = resp.Body.Close()
+	}
+	done := make(chan struct{})
+	for range 6 {
+		go func() { get(); done <- struct{}{} }()
+	}
+	for range 6 {
+		<-done
+	}
+	if most.Load() > 2 {
+		t.Errorf("%d connections served at a time, want at most 2", most.Load())
+	}
+	busy.Store(true)
+	get()
+	began := time.Now()
+	get()
+	if took := time.Since(began); took < 2*short {
+		t.Errorf("a connection was accepted after %v though the process is busy", took)
+	}
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/joomcode/errorx"
-	"golang.org/x/net/netutil"
 
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
@@ -40,6 +39,8 @@
 	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
 	SoftConns int
+	// Busy reports whether new connections should wait until those that are open have been served; nil for never.
+	Busy func() bool
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
@@ -116,8 +117,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.MaxConns > 0 {
-		ln = netutil.LimitListener(ln, l.MaxConns)
+	if l.MaxConns > 0 || l.Busy != nil {
+		ln = newGate(ln, l.MaxConns, l.Busy)
 	}
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -47,7 +47,7 @@
 // context then too, but later where there is no processor time.
 func CallerGone(ctx context.Context) bool {
 	c, ok := ctx.Value(connKey{}).(net.Conn)
-	return ok && peek.Look(c) == peek.Closed
+	return ok && peek.HungUp(c)
 }
 
 // wrap returns h and marks that a header arrived whole.
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -148,7 +148,7 @@
 		return c.send(now, r, best, v), true
 	}
 	behind := !math.IsInf(level, 1) && served < behindShare*level
-	if best.s != nil && !excess && (!late || behind || spare(r, best, svc)) {
+	if best.s != nil && !excess && !c.elsewhere(r) && (!late || behind || spare(r, best, svc)) {
 		return c.send(now, r, best, v), true
 	}
 	if excess && !r.Begun {
@@ -157,6 +157,9 @@
 	if !reachable {
 		return refuse(r, "no_server", clock.Second), true
 	}
+	if c.elsewhere(r) {
+		return withBasis(refuse(r, reasonBusy, busyRetryAfter), best.basis), true
+	}
 	wait := c.queueWait(r, len(pool))
 	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
 		return withBasis(refuse(r, "engines_full", clock.Millis(wait)+r.Goal), best.basis), true
@@ -164,6 +167,17 @@
 	return Decision{}, false
 }
 
+// elsewhere reports whether a request had better go through another router, as this one gets too little processor time:
+// all its streams would be late.
+func (c *Controller) elsewhere(r Request) bool { return c.busy && !r.Begun && len(r.Tried) == 0 }
+
+const (
+	// reasonBusy is the reason of refusals that only this router has.
+	reasonBusy = "router_busy"
+	// busyRetryAfter sends callers to another router at once.
+	busyRetryAfter = 20 * clock.Millis(1)
+)
+
 // end returns the milliseconds to the whole answer.
 func (ch choice) end(r Request, svc routing.Service) float64 {
 	return float64(ch.basis.Expected) + ch.s.pace*float64(r.OutputTokens)/float64(max(1, svc.EventTokens))
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,6 +48,8 @@
 	waiting []Request
 	// returns knows who was refused lately.
 	returns returns
+	// busy says that the router has too little processor time for more streams.
+	busy bool
 	// peers holds the peers' last reports.
 	peers peers
 }
@@ -66,6 +68,9 @@
 // Configure puts a configuration in force.
 func (c *Controller) Configure(t *routing.Table) { c.table = t }
 
+// SetBusy says whether the router has too little processor time for more streams, and others may have more.
+func (c *Controller) SetBusy(busy bool) { c.busy = busy }
+
 // SetServers replaces the servers that may get work. Requests at others go on.
 func (c *Controller) SetServers(entries []laburnumring.ServerEntry) {
 	c.pools = make(map[string][]*server)
@@ -121,8 +126,13 @@
 }
 
 func (c *Controller) noteRefusal(now clock.Millis, r Request, d Decision) {
-	if d.Refusal != nil && c.engine(r.Service) {
+	switch {
+	case d.Refusal == nil || !c.engine(r.Service):
+	case d.Refusal.Reason != reasonBusy:
 		c.returns.note(now, r.Fingerprint)
+	case !r.returned():
+		// The router to which the caller goes counts the request.
+		c.ledger.Ask(now, r.Team, -r.tokens())
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -20,6 +20,7 @@
 //	servers ID=SERVICE/PLACE/SLOTS...
 //	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
+//	busy, free                the router has too little processor time, or enough again
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N]
 //
 // Submit prints the decision, or that the request waits; with times, how many of so many requests were sent to each
@@ -75,6 +76,8 @@
 		}[d.CmdArgs[1].Key])
 	case "withdraw":
 		p.c.Withdraw(id)
+	case "busy", "free":
+		p.c.SetBusy(d.Cmd == "busy")
 	case "unreachable":
 		p.c.Unreachable(p.now, d.CmdArgs[0].Key)
 	case "peer":
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a look found.
@@ -19,6 +21,25 @@
 	Closed
 )
 
+// HungUp reports whether the peer has closed its side or the connection failed, also where something is left to read.
+func HungUp(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err = raw.Control(func(fd uintptr) {
+		fds[0].Fd = int32(fd)
+		// After an error nothing is known, and the connection's next use tells.
+		_, _ = unix.Poll(fds, 0)
+	})
+	return err != nil || fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Look returns the state of a connection. One that cannot be looked at counts as quiet.
 func Look(nc net.Conn) State {
 	sc, ok := nc.(syscall.Conn)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -117,10 +117,18 @@
 	if err != nil {
 		return err
 	}
-	p.put(c)
+	p.Keep(c)
 	return nil
 }
 
+// Keep keeps a connection on which nothing was sent since it was taken; its time goes on.
+func (p *Pool) Keep(c *Conn) {
+	if c.idleSince == 0 {
+		c.idleSince = p.o.Clock.Now()
+	}
+	p.put(c)
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -143,7 +151,6 @@
 }
 
 func (p *Pool) put(c *Conn) {
-	c.idleSince = p.o.Clock.Now()
 	p.mu.Lock()
 	list := append(p.idle[c.address], c)
 	var oldest *Conn
@@ -195,6 +202,7 @@
 	if s, ok := keepAlive(resp.Header.Get("Keep-Alive")); ok {
 		c.life = max(0, s-idleMargin)
 	}
+	c.idleSince = p.o.Clock.Now()
 	p.put(c)
 }
 
