rotation, httpserve, cpulag: Move a flood to the largest routers of its place

Cause: as one small router left the rotation, the balancer sent the flood to the next small one, and back after four seconds; large routers of the same place were nearly idle. The meter of late timers took one long stop for an overload; its test never played one. Change: where a router of a place was overloaded within 15 s, the smallest half leave together. A router whose timers are 120 ms late resets most new connections unread; connections that waited in the kernel were read seconds late.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -133,7 +133,7 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: maxConns * soft, Busy: r.Busy,
+			SoftConns: soft, MaxConns: maxConns * soft, Full: r.Full,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/cpulag/cpulag.go
+++ b/internal/cpulag/cpulag.go
@@ -15,8 +15,9 @@
 
 const (
 	defaultMemory = 1 * clock.Second
-	// maxLate bounds what one timer counts for: a VM that stood still was not overloaded.
-	maxLate = 1 * clock.Second
+	// maxLate bounds what one timer counts for: a VM that stood still was not overloaded. It is over the pause of a
+	// processor whose quota for a tenth of a second is used up.
+	maxLate = 200 * clock.Millis(1)
 )
 
 // Meter follows a timer that should fire at a fixed interval. It is used by one goroutine at a time.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -74,6 +74,9 @@
 	busyLag    = 40 * clock.Millis(1)
 	freeLag    = 15 * clock.Millis(1)
 	busyMemory = 150 * clock.Millis(1)
+	// fullLag is the mean lateness, over the same memory, from which on new connections are reset: even refusals would
+	// come too late.
+	fullLag = 120 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -111,7 +114,9 @@
 	// away says that new connections should go to other routers.
 	away atomic.Bool
 	// busy says that the process has too little processor time for what is in progress.
-	busy  atomic.Bool
+	busy atomic.Bool
+	// full says that it has none for new connections either.
+	full  atomic.Bool
 	count atomic.Int64
 	// background owns the checks of servers.
 	background sync.WaitGroup
@@ -123,8 +128,6 @@
 	intake   *intake.Controller
 	suspects *suspect.List
 	rotation *rotation.Controller
-	// overloaded says that the process gets too little processor time.
-	overloaded bool
 	// told is the last older suspect that peers were told of.
 	told    uint64
 	retries map[string]*retrycap.Cap
@@ -231,16 +234,16 @@
 // Ready reports whether new connections should come to this router.
 func (r *Router) Ready() bool { return r.serving() && !r.away.Load() }
 
-// Busy reports whether the process has too little processor time for what is in progress.
-func (r *Router) Busy() bool { return r.busy.Load() }
+// Full reports whether the process has no processor time for new connections, and other routers may.
+func (r *Router) Full() bool { return r.full.Load() }
 
 // serving reports whether the router has a configuration and does not stop.
 func (r *Router) serving() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
 
 // state returns what the other routers are told of this one; callers hold mu.
-func (r *Router) state() rotation.State {
+func (r *Router) state(now clock.Millis) rotation.State {
 	return rotation.State{
-		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.overloaded || r.away.Load(),
+		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.rotation.Recently(now),
 	}
 }
 
@@ -254,21 +257,24 @@
 func (r *Router) poll(ctx context.Context) {
 	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag, Memory: lagMemory})
 	short := cpulag.New(cpulag.Options{Enter: busyLag, Leave: freeLag, Memory: busyMemory})
+	heavy := cpulag.New(cpulag.Options{Enter: fullLag, Leave: busyLag, Memory: busyMemory})
 	interval.Every(ctx, pollInterval, func() {
 		now := r.o.Clock.Now()
 		changed := lag.Fired(now, clock.FromDuration(pollInterval))
 		short.Fired(now, clock.FromDuration(pollInterval))
+		heavy.Fired(now, clock.FromDuration(pollInterval))
 		others := len(r.gossip.Peers()) > 0
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.overloaded = lag.Overloaded()
+		if lag.Overloaded() {
+			r.rotation.Overloaded(now)
+		}
 		r.busy.Store(short.Overloaded())
+		r.full.Store(others && heavy.Overloaded())
 		r.intake.SetBusy(others && short.Overloaded())
-		s := r.state()
-		s.Overloaded = r.overloaded
-		away := r.rotation.Away(now, s)
+		away := r.rotation.Away(now, r.state(now))
 		if changed || away != r.away.Load() {
-			r.o.Logger.Log(event.OverloadChanged, "overloaded", r.overloaded, "late_ms", int64(lag.Late()),
+			r.o.Logger.Log(event.OverloadChanged, "overloaded", lag.Overloaded(), "late_ms", int64(lag.Late()),
 				"takes_connections", !away, "in_progress", r.inbound.Load())
 		}
 		r.away.Store(away)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -32,7 +32,7 @@
 	return gossip.Message{
 		Configuration: r.text.Version, Roster: r.roster.Revision(),
 		ConfigurationAge: ageOf(now, r.configurationReads), RosterAge: ageOf(now, r.listReads),
-		Work: r.intake.Report(now), Suspects: entries, State: r.state(),
+		Work: r.intake.Report(now), Suspects: entries, State: r.state(now),
 	}
 }
 
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -3,14 +3,17 @@
 import (
 	"net"
 	"sync"
-	"time"
+
+	"golang.org/x/time/rate"
 )
 
-// gate bounds the open connections and lets new ones wait in the kernel, where they cost nothing, while a process has
-// no time for them. It hands out TCP connections as such, so that they can be looked at.
+// gate bounds the open connections, and resets new ones unread while the process has no time for them: their callers
+// go elsewhere at once. It hands out TCP connections as such, so that they can be looked at.
 type gate struct {
 	net.Listener
-	busy func() bool
+	// full reports whether the process has no time for new connections; nil for never. Some are taken in any case.
+	full func() bool
+	some *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
 	room chan struct{}
 	// closed is closed with the listener.
@@ -18,15 +21,14 @@
 	closeOnce sync.Once
 }
 
-const (
-	// gatePause is the time between two looks, and maxGatePause the most that a connection waits here: callers find at
-	// least a few accepted in each second.
-	gatePause    = 10 * time.Millisecond
-	maxGatePause = 200 * time.Millisecond
-)
+// somePerSecond is how many new connections are taken in a second by a process that has no time for them, so that it
+// is seen to work.
+const somePerSecond = 20
 
-func newGate(ln net.Listener, maxConns int, busy func() bool) *gate {
-	g := &gate{Listener: ln, busy: busy, closed: make(chan struct{})}
+func newGate(ln net.Listener, maxConns int, full func() bool) *gate {
+	g := &gate{
+		Listener: ln, full: full, some: rate.NewLimiter(somePerSecond, 1), closed: make(chan struct{}),
+	}
 	if maxConns > 0 {
 		g.room = make(chan struct{}, maxConns)
 	}
@@ -35,9 +37,21 @@
 
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
-	for waited := time.Duration(0); g.busy != nil && waited < maxGatePause && g.busy(); waited += gatePause {
-		time.Sleep(gatePause)
+	for {
+		c, err := g.accept()
+		if err != nil || g.full == nil || !g.full() || g.some.Allow() {
+			return c, err
+		}
+		if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+			// Closing resets the connection in any case where something is unread.
+			_ = l.SetLinger(0)
+		}
+		_ = c.Close()
 	}
+}
+
+// accept returns the next connection when there is room.
+func (g *gate) accept() (net.Conn, error) {
 	if g.room != nil {
 		select {
 		case g.room <- struct{}{}:
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -39,8 +39,9 @@
 	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
 	SoftConns int
-	// Busy reports whether new connections should wait until those that are open have been served; nil for never.
-	Busy func() bool
+	// Full reports whether the process has no time for new connections, which are then reset unread, all but some; nil
+	// for never.
+	Full func() bool
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
@@ -117,8 +118,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.MaxConns > 0 || l.Busy != nil {
-		ln = newGate(ln, l.MaxConns, l.Busy)
+	if l.MaxConns > 0 || l.Full != nil {
+		ln = newGate(ln, l.MaxConns, l.Full)
 	}
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -1,6 +1,6 @@
-// Package rotation decides which routers of a place take new connections. An overloaded router leaves the rotation, but
-// never so many that the balancer, which uses all routers of a place again when fewer than half of them are ready,
-// would undo it.
+// Package rotation decides which routers of a place take new connections. A balancer sends the callers of one team to
+// few routers, whatever their size. Where that overloads one, the smallest leave the rotation, but never so many that the
+// balancer, which uses all routers of a place again when fewer than half of them are ready, would undo it.
 package rotation
 
 import (
@@ -17,8 +17,8 @@
 	Place string
 	// Capacity is the router's processor time in thousandths of a core; 0 when it is not known.
 	Capacity int
-	// Serving says that the router has a configuration and does not stop, Overloaded that it gets too little processor
-	// time.
+	// Serving says that the router has a configuration and does not stop, Overloaded that it got too little processor
+	// time lately.
 	Serving    bool
 	Overloaded bool
 }
@@ -27,17 +27,20 @@
 type Options struct {
 	// Name is unique among the routers.
 	Name string
-	// MinAway is the least time out of the rotation; four seconds when zero.
-	MinAway clock.Millis
+	// Memory is how long an overload counts; 15 seconds when zero.
+	Memory clock.Millis
 	// PeerLife is how long a peer's state counts; three seconds when zero.
 	PeerLife clock.Millis
 }
 
 const (
-	// defaultMinAway is twice the time in which a balancer that looks once a second sees two looks fail.
-	defaultMinAway = 4 * clock.Second
+	// defaultMemory is longer than most floods: where one begins anew, it finds the largest routers.
+	defaultMemory = 15 * clock.Second
 	// defaultPeerLife is several periods of the exchange of 100 routers.
 	defaultPeerLife = 3 * clock.Second
+	// smallPart is the part of the largest router's size up to which a router leaves beside an overloaded one: the
+	// balancer may send the same load to it next.
+	smallPart = 0.5
 )
 
 type peer struct {
@@ -49,14 +52,14 @@
 type Controller struct {
 	o     Options
 	peers map[string]peer
-	// away is until when the router stays out of the rotation; 0 when it is in it.
-	away clock.Millis
+	// until is how long the router's last overload counts; 0 before the first.
+	until clock.Millis
 }
 
 // New returns a controller that knows no peers.
 func New(o Options) *Controller {
-	if o.MinAway == 0 {
-		o.MinAway = defaultMinAway
+	if o.Memory == 0 {
+		o.Memory = defaultMemory
 	}
 	if o.PeerLife == 0 {
 		o.PeerLife = defaultPeerLife
@@ -64,26 +67,32 @@
 	return &Controller{o: o, peers: make(map[string]peer)}
 }
 
+// Overloaded records that this router is overloaded now.
+func (c *Controller) Overloaded(now clock.Millis) { c.until = now + c.o.Memory }
+
+// Recently reports whether this router was overloaded lately, as its peers are to be told.
+func (c *Controller) Recently(now clock.Millis) bool { return now < c.until }
+
 // Merge takes a peer's state in place of its former one.
 func (c *Controller) Merge(now clock.Millis, name string, s State) {
 	c.peers[name] = peer{s: s, at: now}
 }
 
-// candidate is an overloaded router.
+// candidate is a router that may leave.
 type candidate struct {
-	capacity int
-	name     string
+	name string
+	s    State
 }
 
-// Away reports whether this router, whose state is given, is out of the rotation. The smallest of the overloaded
-// routers leave first, and all routers find the same ones.
+// Away reports whether this router, whose state is given, is out of the rotation. Where a router of the place was
+// overloaded lately, the smallest ones leave, and all routers find the same ones.
 func (c *Controller) Away(now clock.Millis, own State) bool {
-	if !own.Serving || !own.Overloaded && now >= c.away {
-		c.away = 0
+	if !own.Serving {
 		return false
 	}
-	routers, gone := 1, 0
-	overloaded := []candidate{{capacity: own.Capacity, name: c.o.Name}}
+	routers, gone, largest := 1, 0, own.Capacity
+	flooded := own.Overloaded
+	in := []candidate{{name: c.o.Name, s: own}}
 	for name, p := range c.peers {
 		switch {
 		case now-p.at > c.o.PeerLife:
@@ -93,21 +102,31 @@
 			continue
 		case !p.s.Serving:
 			gone++
-		case p.s.Overloaded:
-			overloaded = append(overloaded, candidate{capacity: p.s.Capacity, name: name})
+		default:
+			in = append(in, candidate{name: name, s: p.s})
+			flooded = flooded || p.s.Overloaded
+			largest = max(largest, p.s.Capacity)
 		}
 		routers++
 	}
-	slices.SortFunc(overloaded, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.capacity, b.capacity), cmp.Compare(a.name, b.name))
-	})
-	rank := slices.IndexFunc(overloaded, func(v candidate) bool { return v.name == c.o.Name })
-	if rank >= routers/2-gone {
-		c.away = 0
+	if !flooded || !own.Overloaded && float64(own.Capacity) > smallPart*float64(largest) {
 		return false
 	}
-	if c.away == 0 {
-		c.away = now + c.o.MinAway
+	slices.SortFunc(in, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.s.Capacity, b.s.Capacity), compareBools(b.s.Overloaded, a.s.Overloaded),
+			cmp.Compare(a.name, b.name))
+	})
+	rank := slices.IndexFunc(in, func(v candidate) bool { return v.name == c.o.Name })
+	return rank < routers/2-gone
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
 	}
-	return true
+	return -1
 }
--- a/internal/rotation/rotation_test.go
+++ b/internal/rotation/rotation_test.go
@@ -12,7 +12,8 @@
 // TestRotation plays scripts of routers of a place. Times are in milliseconds, at=T moves the clock:
 //
 //	peer NAME [place=P] [capacity=N] [overloaded] [stopping]   what a peer tells
-//	self [capacity=N] [overloaded] [stopping]                  prints whether this router, named m, is in the rotation
+//	self [capacity=N] [overloaded] [stopping]                  prints whether this router, named m, is in the rotation;
+//	                                                           an overload is remembered
 func TestRotation(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		c := rotation.New(rotation.Options{Name: "m"})
@@ -29,6 +30,10 @@
 				c.Merge(now, d.CmdArgs[0].Key, s)
 				return ""
 			case "self":
+				if s.Overloaded {
+					c.Overloaded(now)
+				}
+				s.Overloaded = c.Recently(now)
 				if c.Away(now, s) {
 					return "away"
 				}
