intake, rotation: Measure engines by queueing, and forget a burst in a second

The factor on the throughput stood at its least, 0.5: the mean of the routers hung on routers that decide nothing and told an old factor; what a burst had shown was forgotten by the number of begun requests, of which there were few; and the time of a prompt itself counted as strain, a quarter of the goal at idle engines. A flood stayed on the one small router that had to stay in rotation. Shared parts whose home was busy were read at the idlest server each time. Change: only factors that moved within a second are told; seen waits are forgotten within a second; strain is the used part of the time for queueing; the factor stays over 0.8. A busy part goes to its second home. Routers that are overloaded now leave before those that were, and who is away stays away. Ruled out: lost messages (ages of reports were 300 ms at most).

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -128,6 +128,8 @@
 	intake   *intake.Controller
 	suspects *suspect.List
 	rotation *rotation.Controller
+	// overloaded says that the process gets too little processor time for its connections.
+	overloaded bool
 	// told is the last older suspect that peers were told of.
 	told    uint64
 	retries map[string]*retrycap.Cap
@@ -243,7 +245,8 @@
 // state returns what the other routers are told of this one; callers hold mu.
 func (r *Router) state(now clock.Millis) rotation.State {
 	return rotation.State{
-		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.rotation.Recently(now),
+		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.overloaded,
+		Strained: r.rotation.Strained(now), Away: r.away.Load(),
 	}
 }
 
@@ -266,7 +269,8 @@
 		others := len(r.gossip.Peers()) > 0
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if lag.Overloaded() {
+		r.overloaded = lag.Overloaded()
+		if r.overloaded {
 			r.rotation.Overloaded(now)
 		}
 		r.busy.Store(short.Overloaded())
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -30,6 +30,8 @@
 	memoryFill = 0.85
 	// spreadPenalty is how much more a shared part counts where it would be read once more.
 	spreadPenalty = 8.0
+	// secondPenalty is the same for the part's second home, so that it is read in one more place, not in many.
+	secondPenalty = 3.0
 	// placePenalty is the extra time to a server in another place, in milliseconds.
 	placePenalty = 2.0
 	// placeSlots is the extra load that a plain server in another place counts for, in slots.
@@ -134,8 +136,10 @@
 		best.basis.Level = int64(level)
 	}
 	if best.s != nil && r.Goal > 0 {
-		c.supply(r.Service).observe(now, float64(best.basis.Expected)/float64(r.Goal),
-			best.end(r, svc)/float64(r.Limit-r.Arrived), c.peers.supply(r.Service))
+		if begin, ok := queueing(float64(best.basis.Expected), float64(best.alone), float64(r.Goal)); ok {
+			c.supply(r.Service).observe(now, begin, best.end(r, svc)/float64(r.Limit-r.Arrived),
+				c.peers.supply(r.Service))
+		}
 	}
 	if r.returned() {
 		// Requests that can still be on time go first.
@@ -206,7 +210,7 @@
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) (best choice, reachable bool) {
 	f := c.forecast(r.Service)
-	home := homeOf(r, pool)
+	homes := homesOf(r, pool)
 	best.score = math.Inf(1)
 	for _, s := range pool {
 		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) {
@@ -214,7 +218,7 @@
 		}
 		reachable = true
 		l := c.load(s)
-		fresh := s.fresh(now, r, s == home)
+		fresh := s.fresh(now, r, s == homes[0])
 		own := r.ownTokens()
 		if l.Running >= slotsOf(svc, s) ||
 			svc.Memory > 0 && l.Running > 0 && l.Memory+own > int64(memoryFill*float64(svc.Memory)) {
@@ -223,7 +227,11 @@
 		expected := f.Predict(s.entry.ID, l.Queued+fresh)
 		score := expected
 		if again := fresh - own; again > 0 {
-			score += spreadPenalty * f.Slope() * float64(again)
+			penalty := spreadPenalty
+			if s == homes[1] {
+				penalty = secondPenalty
+			}
+			score += penalty * f.Slope() * float64(again)
 		}
 		if s.entry.Place != c.o.Place {
 			score += placePenalty
@@ -256,22 +264,25 @@
 	return r.Parts[len(r.Parts)-1].Tokens
 }
 
-// homeOf returns the server where the prompt's last shared part belongs, by rendezvous hashing, so that all routers
-// send the part to the same server; nil without a shared part. The parts before it are shared by many prompts and are
-// soon kept everywhere.
-func homeOf(r Request, pool []*server) *server {
+// homesOf returns the server where the prompt's last shared part belongs and the one that comes next, by rendezvous
+// hashing, so that all routers send the part to the same servers; nil ones without a shared part. The parts before it are
+// shared by many prompts and are soon kept everywhere.
+func homesOf(r Request, pool []*server) (homes [2]*server) {
 	if len(r.Parts) < 2 {
-		return nil
+		return homes
 	}
 	shared := r.Parts[len(r.Parts)-2]
-	var home *server
-	var most uint64
+	var most [2]uint64
 	for _, s := range pool {
-		if h := xxhash.Sum64String(shared.ID + "@" + s.entry.ID); home == nil || h > most {
-			home, most = s, h
+		switch h := xxhash.Sum64String(shared.ID + "@" + s.entry.ID); {
+		case homes[0] == nil || h > most[0]:
+			homes[1], most[1] = homes[0], most[0]
+			homes[0], most[0] = s, h
+		case homes[1] == nil || h > most[1]:
+			homes[1], most[1] = s, h
 		}
 	}
-	return home
+	return homes
 }
 
 // send books a request at a server.
@@ -288,7 +299,9 @@
 		v.teams[r.Team] = c.ledger.Total(now, r.Team)
 	}
 	ch.s.load = ch.s.load.plus(l)
-	c.runs[r.ID] = &run{r: r, server: ch.s.entry.ID, load: l, ahead: b.Queued + b.Fresh, sent: now}
+	c.runs[r.ID] = &run{
+		r: r, server: ch.s.entry.ID, load: l, ahead: b.Queued + b.Fresh, alone: ch.alone, sent: now,
+	}
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,8 +23,10 @@
 	r      Request
 	server string
 	load   Load
-	// ahead is the prompt tokens that the server had to read up to the first token, and sent when it was sent.
+	// ahead is the prompt tokens that the server had to read up to the first token, alone the milliseconds that this
+	// was expected to take without a queue, and sent when it was sent.
 	ahead   int64
+	alone   int64
 	sent    clock.Millis
 	started bool
 }
@@ -184,8 +186,8 @@
 	s.succeeded()
 	if c.engine(v.r.Service) {
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
-		if v.r.Goal > 0 {
-			c.supply(v.r.Service).began(float64(now-v.sent) / float64(v.r.Goal))
+		if part, ok := queueing(float64(now-v.sent), float64(v.alone), float64(v.r.Goal)); ok {
+			c.supply(v.r.Service).began(part)
 		}
 	}
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -21,19 +21,14 @@
 //	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
 //	busy, free                the router has too little processor time, or enough again
-//	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N]
+//	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N] [supply=F]
+//	supply                    prints what peers are told of the engines' throughput
 //
 // Submit prints the decision, or that the request waits; with times, how many of so many requests were sent to each
 // server or refused for which reason.
 func TestDecisions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		p := &player{c: intake.New(intake.Options{Place: "a"}), next: 1000}
-		p.c.Configure(routing.New(routing.Options{
-			Version: 1, Limits: routing.Limits{TokensPerSecond: 100_000},
-			Services: []routing.Service{
-				{Name: "app"}, {Name: "llm", Engine: true, Slots: 8, Memory: 100_000, EventTokens: 5},
-			},
-		}))
+		p := &player{c: newController(), next: 1000}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			p.t = t
 			return p.command(d)
@@ -41,6 +36,18 @@
 	})
 }
 
+// newController returns a controller with a service of each kind.
+func newController() *intake.Controller {
+	c := intake.New(intake.Options{Place: "a"})
+	c.Configure(routing.New(routing.Options{
+		Version: 1, Limits: routing.Limits{TokensPerSecond: 100_000},
+		Services: []routing.Service{
+			{Name: "app"}, {Name: "llm", Engine: true, Slots: 8, Memory: 100_000, EventTokens: 5},
+		},
+	}))
+	return c
+}
+
 type player struct {
 	t    *testing.T
 	c    *intake.Controller
@@ -76,6 +83,11 @@
 		}[d.CmdArgs[1].Key])
 	case "withdraw":
 		p.c.Withdraw(id)
+	case "supply":
+		if f, ok := p.c.Report(p.now).Supplies["llm"]; ok {
+			return fmt.Sprintf("llm %.2f", f)
+		}
+		return "nothing"
 	case "busy", "free":
 		p.c.SetBusy(d.Cmd == "busy")
 	case "unreachable":
@@ -112,6 +124,9 @@
 			n[i], _ = strconv.ParseInt(f[i], 10, 64)
 		}
 		switch {
+		case a.Key == "supply":
+			f, _ := strconv.ParseFloat(a.Vals[0], 64)
+			r.Supplies = map[string]float64{"llm": f}
 		case a.Key == "refused":
 			r.Refused = append(r.Refused, uint64(n[0]))
 		case len(n) == 3:
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for service, s := range c.supplies {
-		if s.factor > 0 {
+		if s.current(now) {
 			out.Supplies[service] = s.factor
 		}
 	}
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -13,25 +13,38 @@
 	factor float64
 	// strain is the decayed use of the time that requests have; 1 is what engines should be used up to.
 	strain float64
-	// begun is the decayed time to the first token that was seen, as a part of the goal: with many routers forecasts
-	// miss what the others send meanwhile.
+	// begun is the decayed use of the time for queueing that was seen: with many routers forecasts miss what the others
+	// send meanwhile.
 	begun float64
 	// at is when the factor last moved.
 	at clock.Millis
 }
 
-// began takes the time to a first token as a part of its goal.
-func (s *supply) began(ratio float64) {
-	s.begun += strainWeight * (min(ratio, maxStrain) - s.begun)
+// began takes what part of the time that a request had for queueing it took.
+func (s *supply) began(part float64) {
+	s.begun += strainWeight * (min(part, maxStrain*beginTarget) - s.begun)
+}
+
+// queueing returns what part of the time that a request has for queueing before its goal a wait for its first token
+// takes, when it would take alone without a queue, all in milliseconds. It returns false when the request's own prompt
+// leaves too little time to say.
+func queueing(wait, alone, goal float64) (float64, bool) {
+	room := goalTime*goal - alone
+	if room < minRoom*goal {
+		return 0, false
+	}
+	return max(0, wait-alone) / room, true
 }
 
 // Settings of the supply's control loop.
 const (
-	// beginTarget is the expected time to the first token as a part of the goal, and endTarget the expected time to
-	// the whole answer as a part of the request's time, at which engines are well used. The rest is for what forecasts
-	// miss: answers are often twice as long as expected.
-	beginTarget  = 0.4
-	endTarget    = 0.3
+	// beginTarget is the part of the time for queueing before the first token, and endTarget the part of a request's time
+	// that its whole answer is expected to take, at which engines are well used. The rest is for what forecasts miss:
+	// answers are often twice as long as expected.
+	beginTarget = 0.07
+	endTarget   = 0.3
+	// minRoom is the part of its goal that a request must have for queueing to count.
+	minRoom      = 0.2
 	strainWeight = 0.05
 	maxStrain    = 3.0
 	// firstSupply is the factor before the first look, without other routers: engines that keep the shared parts of
@@ -41,20 +54,28 @@
 	supplyGain = 1.0
 	// supplyPull is how far the factor moves towards the other routers' mean at each step.
 	supplyPull = 0.2
-	// minSupply keeps half of the configured throughput in use when engines seem slow; maxSupply is more than engines
-	// that keep all shared parts give.
-	minSupply  = 0.5
+	// minSupply is what engines give when a fifth of them is lost or slow; maxSupply is more than engines that keep all
+	// shared parts give.
+	minSupply  = 0.8
 	maxSupply  = 4.0
 	supplyStep = 50 * clock.Millis(1)
 	// supplyGap is the most time between looks that counts.
 	supplyGap = 500 * clock.Millis(1)
+	// begunMemory is the time constant with which seen times are forgotten: where most requests are refused, few begin to
+	// show that engines are free again.
+	begunMemory = 1 * clock.Second
+	// supplyLife is how long a factor that has not moved says something of the engines.
+	supplyLife = 1 * clock.Second
 )
 
-// observe takes the parts of a request's goal and time that the engines are expected to use, and the mean factor of
-// the other routers; 0 when it is not known.
+// current reports whether the factor moved lately.
+func (s *supply) current(now clock.Millis) bool { return s.factor > 0 && now-s.at <= supplyLife }
+
+// observe takes the parts of a request's time for queueing and of its whole time that the engines are expected to use,
+// and the mean factor of the other routers; 0 when it is not known.
 func (s *supply) observe(now clock.Millis, begin, end, others float64) {
-	if s.factor == 0 {
-		*s = supply{factor: firstSupply, strain: 1, at: now}
+	if !s.current(now) && (s.factor == 0 || others > 0) {
+		*s = supply{factor: firstSupply, strain: 1, begun: beginTarget, at: now}
 		if others > 0 {
 			s.factor = others
 		}
@@ -64,6 +85,7 @@
 	if now-s.at < supplyStep {
 		return
 	}
+	s.begun *= math.Exp(-float64(now-s.at) / float64(begunMemory))
 	seconds := min(now-s.at, supplyGap).Duration().Seconds()
 	f := s.factor * math.Exp(supplyGain*(1-s.strain)*seconds)
 	if others > 0 {
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -17,10 +17,13 @@
 	Place string
 	// Capacity is the router's processor time in thousandths of a core; 0 when it is not known.
 	Capacity int
-	// Serving says that the router has a configuration and does not stop, Overloaded that it got too little processor
-	// time lately.
-	Serving    bool
+	// Serving says that the router has a configuration and does not stop.
+	Serving bool
+	// Overloaded says that it gets too little processor time now, Strained that it did lately.
 	Overloaded bool
+	Strained   bool
+	// Away says that it is out of the rotation.
+	Away bool
 }
 
 // Options are the settings of a Controller.
@@ -70,8 +73,8 @@
 // Overloaded records that this router is overloaded now.
 func (c *Controller) Overloaded(now clock.Millis) { c.until = now + c.o.Memory }
 
-// Recently reports whether this router was overloaded lately, as its peers are to be told.
-func (c *Controller) Recently(now clock.Millis) bool { return now < c.until }
+// Strained reports whether this router was overloaded lately.
+func (c *Controller) Strained(now clock.Millis) bool { return now < c.until }
 
 // Merge takes a peer's state in place of its former one.
 func (c *Controller) Merge(now clock.Millis, name string, s State) {
@@ -84,14 +87,14 @@
 	s    State
 }
 
-// Away reports whether this router, whose state is given, is out of the rotation. Where a router of the place was
+// Away reports whether this router, whose state is given, is to be out of the rotation. Where a router of the place was
 // overloaded lately, the smallest ones leave, and all routers find the same ones.
 func (c *Controller) Away(now clock.Millis, own State) bool {
 	if !own.Serving {
 		return false
 	}
 	routers, gone, largest := 1, 0, own.Capacity
-	flooded := own.Overloaded
+	strained := own.Strained
 	in := []candidate{{name: c.o.Name, s: own}}
 	for name, p := range c.peers {
 		switch {
@@ -104,29 +107,35 @@
 			gone++
 		default:
 			in = append(in, candidate{name: name, s: p.s})
-			flooded = flooded || p.s.Overloaded
+			strained = strained || p.s.Strained
 			largest = max(largest, p.s.Capacity)
 		}
 		routers++
 	}
-	if !flooded || !own.Overloaded && float64(own.Capacity) > smallPart*float64(largest) {
+	if !strained || !own.Strained && float64(own.Capacity) > smallPart*float64(largest) {
 		return false
 	}
-	slices.SortFunc(in, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.s.Capacity, b.s.Capacity), compareBools(b.s.Overloaded, a.s.Overloaded),
-			cmp.Compare(a.name, b.name))
-	})
+	slices.SortFunc(in, candidate.compare)
 	rank := slices.IndexFunc(in, func(v candidate) bool { return v.name == c.o.Name })
 	return rank < routers/2-gone
 }
 
-// compareBools orders false before true.
-func compareBools(a, b bool) int {
+// compare orders the routers by who leaves first: the smallest, and of these the ones that cannot go on. Who is away
+// stays so before others, as a balancer that is left alone keeps a flood where it is.
+func (a candidate) compare(b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.s.Capacity, b.s.Capacity), trueFirst(a.s.Overloaded, b.s.Overloaded),
+		trueFirst(a.s.Away, b.s.Away), trueFirst(a.s.Strained, b.s.Strained), cmp.Compare(a.name, b.name),
+	)
+}
+
+// trueFirst orders true before false.
+func trueFirst(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
 	case a:
-		return 1
+		return -1
 	}
-	return -1
+	return 1
 }
