intake, fairshare: Divide a team's share by what it asks of each router

Cause: a team that asks at 26 routers received two to five times its share: each gave until it heard of the others, 300 ms later, and what was over 1.3 of the share was forgiven at each decision. Ruled out: different levels at the routers (they were within a tenth). Change: over half of its share, a team's part at a router is what it asks there of all it asks; it is forgiven only after a second of plenty, for half a second.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -189,6 +189,15 @@
 	return out
 }
 
+// Part returns how much of what a team asks for it asks here, from 0 to 1, and what it was served here.
+func (l *Ledger) Part(now clock.Millis, team string) (part, served float64) {
+	if _, ok := l.own[team]; !ok {
+		return 0, 0
+	}
+	own := l.team(now, team).rates
+	return own.Asked / max(minRate, l.Total(now, team).Asked), own.Served
+}
+
 // expire drops the reports that are too old.
 func (l *Ledger) expire(now clock.Millis) {
 	if len(l.peers) == 0 || now <= l.lapse {
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -56,3 +56,17 @@
 		t.Errorf("served %v, want 0 at least", got)
 	}
 }
+
+// TestPart divides a team by what it asks of each router.
+func TestPart(t *testing.T) {
+	l := fairshare.New(fairshare.Options{})
+	if part, served := l.Part(0, "ann"); part != 0 || served != 0 {
+		t.Errorf("part %v, served %v of a team that asked nothing", part, served)
+	}
+	l.Ask(0, "ann", 50_000)
+	l.Serve(0, "ann", 20_000)
+	l.Merge(0, "r2", map[string]fairshare.Rates{"ann": {Asked: 75_000, Served: 40_000}})
+	if part, served := l.Part(0, "ann"); part != 0.25 || served != 10_000 {
+		t.Errorf("part %v, served %v, want a quarter and 10000", part, served)
+	}
+}
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -129,7 +129,7 @@
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) (Decision, bool) {
 	level := c.level(now, v, r.Service)
-	served := v.teams[r.Team].Served
+	served := c.received(now, v, r.Team, level)
 	best, reachable := c.bestEngine(now, r, v, pool, svc)
 	best.basis.Served = int64(served)
 	if !math.IsInf(level, 1) {
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -17,7 +17,36 @@
 	// send meanwhile.
 	begun float64
 	// at is when the factor last moved.
-	at clock.Millis
+	at       clock.Millis
+	scarcity scarcity
+}
+
+// scarcity knows how long there was enough for all.
+type scarcity struct {
+	// short says that there is not enough for all, and plenty when there last began to be enough.
+	short  bool
+	plenty clock.Millis
+	// forgive is until when teams are forgiven what they received before.
+	forgive clock.Millis
+}
+
+const (
+	// plentyTime is how long there must have been enough for all before teams are forgiven what they received in it.
+	plentyTime = 1 * clock.Second
+	// forgiveTime is long enough for all routers to find that there is not enough any more.
+	forgiveTime = 500 * clock.Millis(1)
+)
+
+// scarce records whether there is too little for all, and reports whether teams are now forgiven what they received.
+func (s *scarcity) scarce(now clock.Millis, short bool) bool {
+	switch {
+	case !short && s.short:
+		s.plenty = now
+	case short && !s.short && (s.plenty == 0 || now-s.plenty >= plentyTime):
+		s.forgive = now + forgiveTime
+	}
+	s.short = short
+	return short && now < s.forgive
 }
 
 // began takes what part of the time that a request had for queueing it took.
@@ -75,7 +104,7 @@
 // and the mean factor of the other routers; 0 when it is not known.
 func (s *supply) observe(now clock.Millis, begin, end, others float64) {
 	if !s.current(now) && (s.factor == 0 || others > 0) {
-		*s = supply{factor: firstSupply, strain: 1, begun: beginTarget, at: now}
+		*s = supply{factor: firstSupply, strain: 1, begun: beginTarget, at: now, scarcity: s.scarcity}
 		if others > 0 {
 			s.factor = others
 		}
