httpserve: Close the listener while there is no time for connections

Change: the listener is closed, for 200 ms at most at a time, so that the kernel resets them; in between it is open for at least 20 ms.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -125,7 +125,8 @@
 	metrics.Handle("/metrics", r.Metrics())
 	// Accepted connections have the listener's options, which saves calls for each.
 	lc := net.ListenConfig{KeepAlive: -1, Control: deadpeer.ControlListener}
-	callers, err := lc.Listen(ctx, "tcp", s.Callers.String())
+	listen := func() (net.Listener, error) { return lc.Listen(context.WithoutCancel(ctx), "tcp", s.Callers.String()) }
+	callers, err := listen()
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
@@ -133,7 +134,7 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: maxConns * soft, Full: r.Full,
+			SoftConns: soft, MaxConns: maxConns * soft, Full: r.Full, Reopen: listen,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -3,51 +3,98 @@
 import (
 	"net"
 	"sync"
-
-	"golang.org/x/time/rate"
+	"time"
 )
 
-// gate bounds the open connections, and resets new ones unread while the process has no time for them: their callers
-// go elsewhere at once. It hands out TCP connections as such, so that they can be looked at.
+// gate bounds the open connections. While the process has no time for new ones it closes the listener again and again,
+// so that the kernel resets them: that costs the process nothing, and their callers go elsewhere at once. It hands out
+// TCP connections as such, so that they can be looked at.
 type gate struct {
-	net.Listener
-	// full reports whether the process has no time for new connections; nil for never. Some are taken in any case.
+	// open opens the listener, and full reports whether the process has no time for new connections; nil for never.
+	open func() (net.Listener, error)
 	full func() bool
-	some *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
 	room chan struct{}
-	// closed is closed with the listener.
+	// closed is closed with the gate.
 	closed    chan struct{}
 	closeOnce sync.Once
+
+	mu sync.Mutex
+	// ln is the listener that is open now, opened when it was opened, and taken whether it has handed out a connection.
+	ln     net.Listener
+	opened time.Time
+	taken  bool
 }
 
-// somePerSecond is how many new connections are taken in a second by a process that has no time for them, so that it
-// is seen to work.
-const somePerSecond = 20
+const (
+	// maxShut is the longest time in which new connections are reset, and minOpen the shortest in which they are taken
+	// between two of these: a process that has no time takes a few each second.
+	maxShut = 200 * time.Millisecond
+	minOpen = 20 * time.Millisecond
+	// shutPause is the time between two looks whether there is time again.
+	shutPause = 20 * time.Millisecond
+	// reopenTries bounds the tries to open the listener again.
+	reopenTries = 50
+)
 
-func newGate(ln net.Listener, maxConns int, full func() bool) *gate {
-	g := &gate{
-		Listener: ln, full: full, some: rate.NewLimiter(somePerSecond, 1), closed: make(chan struct{}),
-	}
-	if maxConns > 0 {
-		g.room = make(chan struct{}, maxConns)
+func newGate(ln net.Listener, l Listener) *gate {
+	g := &gate{ln: ln, open: l.Reopen, full: l.Full, closed: make(chan struct{}), opened: time.Now()}
+	if l.MaxConns > 0 {
+		g.room = make(chan struct{}, l.MaxConns)
 	}
 	return g
 }
 
+// Addr implements net.Listener.
+func (g *gate) Addr() net.Addr { return g.listener().Addr() }
+
+func (g *gate) listener() net.Listener {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ln
+}
+
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
-	for {
-		c, err := g.accept()
-		if err != nil || g.full == nil || !g.full() || g.some.Allow() {
-			return c, err
+	if g.full != nil && g.taken && time.Since(g.opened) >= minOpen && g.full() {
+		if err := g.shut(); err != nil {
+			return nil, err
 		}
-		if l, ok := c.(interface{ SetLinger(seconds int) error }); ok {
-			// Closing resets the connection in any case where something is unread.
-			_ = l.SetLinger(0)
+	}
+	c, err := g.accept()
+	g.taken = true
+	return c, err
+}
+
+// shut closes the listener until there is time again, or for maxShut.
+func (g *gate) shut() error {
+	_ = g.listener().Close()
+	for end := time.Now().Add(maxShut); time.Now().Before(end) && g.full(); {
+		time.Sleep(shutPause)
+	}
+	var err error
+	for range reopenTries {
+		var ln net.Listener
+		if ln, err = g.open(); err == nil {
+			return g.replace(ln)
 		}
-		_ = c.Close()
+		time.Sleep(shutPause)
+	}
+	return err
+}
+
+// replace takes a new listener, unless the gate was closed meanwhile.
+func (g *gate) replace(ln net.Listener) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.closed:
+		_ = ln.Close()
+		return net.ErrClosed
+	default:
 	}
+	g.ln, g.opened, g.taken = ln, time.Now(), false
+	return nil
 }
 
 // accept returns the next connection when there is room.
@@ -59,7 +106,7 @@
 			return nil, net.ErrClosed
 		}
 	}
-	c, err := g.Listener.Accept()
+	c, err := g.listener().Accept()
 	if g.room == nil {
 		return c, err
 	}
@@ -77,7 +124,7 @@
 // Close implements net.Listener.
 func (g *gate) Close() error {
 	g.closeOnce.Do(func() { close(g.closed) })
-	return g.Listener.Close()
+	return g.listener().Close()
 }
 
 // boundedTCPConn makes room when it is closed.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -39,9 +39,10 @@
 	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
 	SoftConns int
-	// Full reports whether the process has no time for new connections, which are then reset unread, all but some; nil
-	// for never.
-	Full func() bool
+	// Full reports whether the process has no time for new connections, most of which are then reset; nil for never.
+	// Reopen opens the listener again; it is needed with Full.
+	Full   func() bool
+	Reopen func() (net.Listener, error)
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
@@ -119,7 +120,7 @@
 		return nil, err
 	}
 	if l.MaxConns > 0 || l.Full != nil {
-		ln = newGate(ln, l.MaxConns, l.Full)
+		ln = newGate(ln, l)
 	}
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
