httpserve, direct: Bound new connections by the processor, and check decisions before the send

Cause: at the beginning of a flood a router of a seventh of a core took hundreds of connections before its timers were seen to be late; what they started waited two seconds for the processor. Ruled out: slow connects; the servers answered at once. Change: connections beyond what the processor can refuse, and 150 ms of them at once, are reset by the kernel; before the send it is checked that the server is still listed, and that a stream does not come a quarter of a second late from a busy router; requests are taken for 2 s after SIGTERM, not 2.5.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -51,7 +51,10 @@
 	connPart  = 0.25
 	connBytes = 32 << 10
 	// maxConns is the most connections, as a multiple of those from which on they are not kept.
-	maxConns = 2
+	maxConns = 1.25
+	// connTime is the processor time of a new connection whose request is refused, in milliseconds: 0.14 by measurement
+	// (BenchmarkRefused) and as much again for what the platform charges for calls of the kernel.
+	connTime = 0.3
 	// softConns is the part of the file limit from which on callers' connections are not kept.
 	softConns = 0.4
 	// retryCaution is the part of the allowed ratio that a router uses, as its requests and repeats are counted in
@@ -134,7 +137,8 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: maxConns * soft, Full: r.Full, Reopen: listen,
+			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Reopen: listen,
+			ConnsPerSecond: float64(s.Capacity) / connTime,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -52,10 +52,14 @@
 		r.pool.Keep(conn)
 		return c.left(errors.New("caller left before the request was sent"))
 	}
+	now := r.o.Clock.Now()
+	if end, ok := r.overtaken(now, c, d); ok {
+		r.pool.Keep(conn)
+		return end
+	}
 	// Closing the connection is what makes a server stop when the caller leaves.
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	now := r.o.Clock.Now()
 	r.logPlaced(now, c, d)
 	out := r.outgoing(now, c, d)
 	c.sends++
@@ -87,6 +91,22 @@
 	return r.passWhole(ctx, c, d, conn, resp)
 }
 
+// overtaken reports whether a decision no longer holds as there was no processor time to carry it out.
+func (r *Router) overtaken(now clock.Millis, c *call, d intake.Decision) (ending, bool) {
+	r.mu.Lock()
+	listed := r.intake.Listed(d.Server.ID)
+	r.mu.Unlock()
+	if !listed {
+		return ending{result: intake.NotRun, err: fmt.Errorf("backend server %s left meanwhile", d.Server.ID)}, true
+	}
+	if r.busy.Load() && c.sends == 0 && c.route.Stream() && now-c.arrived > busyWait {
+		d.Refusal = intake.Elsewhere()
+		r.refuse(c, d)
+		return ending{result: intake.NotRun, final: true}, true
+	}
+	return ending{}, false
+}
+
 func (r *Router) logPlaced(now clock.Millis, c *call, d intake.Decision) {
 	r.o.Logger.Log(event.RequestPlaced, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -77,6 +77,9 @@
 	// fullLag is the mean lateness, over the same memory, from which on new connections are reset: even refusals would
 	// come too late.
 	fullLag = 120 * clock.Millis(1)
+	// busyWait is how long after it was read a request may still be sent while there is too little processor time: its
+	// answer would wait as long again.
+	busyWait = 250 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -205,7 +208,7 @@
 // Times of a shutdown, from its beginning.
 const (
 	// acceptTime is how long new requests are taken: the balancer notices within two of its looks, one a second.
-	acceptTime = 2500 * clock.Millis(1)
+	acceptTime = 2000 * clock.Millis(1)
 	// endMargin is how long before the end of the grace time the process gives up on requests in progress.
 	endMargin = 900 * time.Millisecond
 )
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -96,7 +96,7 @@
 
 // again reports whether the request may go to another server after an attempt that ended without an answer.
 func (r *Router) again(c *call, end ending) bool {
-	if end.result == intake.Unreachable {
+	if end.result == intake.Unreachable || c.sends == 0 {
 		return true
 	}
 	if c.sends >= c.route.Attempts() || end.result != intake.NotRun && !c.route.MayRepeat() {
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // gate bounds the open connections. While the process has no time for new ones it closes the listener again and again,
@@ -13,6 +15,8 @@
 	// open opens the listener, and full reports whether the process has no time for new connections; nil for never.
 	open func() (net.Listener, error)
 	full func() bool
+	// rate bounds the new connections; nil without a bound.
+	rate *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
 	room chan struct{}
 	// closed is closed with the gate.
@@ -33,12 +37,17 @@
 	minOpen = 20 * time.Millisecond
 	// shutPause is the time between two looks whether there is time again.
 	shutPause = 20 * time.Millisecond
+	// burstTime is how long connections may come at any rate: what they start waits for the processor.
+	burstTime = 150 * time.Millisecond
 	// reopenTries bounds the tries to open the listener again.
 	reopenTries = 50
 )
 
 func newGate(ln net.Listener, l Listener) *gate {
 	g := &gate{ln: ln, open: l.Reopen, full: l.Full, closed: make(chan struct{}), opened: time.Now()}
+	if l.ConnsPerSecond > 0 {
+		g.rate = rate.NewLimiter(rate.Limit(l.ConnsPerSecond), max(1, int(burstTime.Seconds()*l.ConnsPerSecond)))
+	}
 	if l.MaxConns > 0 {
 		g.room = make(chan struct{}, l.MaxConns)
 	}
@@ -56,20 +65,29 @@
 
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
-	if g.full != nil && g.taken && time.Since(g.opened) >= minOpen && g.full() {
+	if g.open != nil && g.taken && time.Since(g.opened) >= minOpen && g.crowded() {
 		if err := g.shut(); err != nil {
 			return nil, err
 		}
 	}
 	c, err := g.accept()
 	g.taken = true
+	if g.rate != nil && err == nil {
+		// More than the bound come in while the listener must be open.
+		_ = g.rate.Allow()
+	}
 	return c, err
 }
 
+// crowded reports whether new connections are to be reset now.
+func (g *gate) crowded() bool {
+	return g.full != nil && g.full() || g.rate != nil && g.rate.Tokens() < 1
+}
+
 // shut closes the listener until there is time again, or for maxShut.
 func (g *gate) shut() error {
 	_ = g.listener().Close()
-	for end := time.Now().Add(maxShut); time.Now().Before(end) && g.full(); {
+	for end := time.Now().Add(maxShut); time.Now().Before(end) && g.crowded(); {
 		time.Sleep(shutPause)
 	}
 	var err error
--- a/internal/httpserve/gate_test.go
+++ b/internal/httpserve/gate_test.go
@@ -125,3 +125,22 @@
 		}
 	}
 }
+
+// TestConnectionRate refuses most of many connections to a process that has time for a few.
+func TestConnectionRate(t *testing.T) {
+	address := serveConns(t, httpserve.Listener{ConnsPerSecond: 40, Handler: http.HandlerFunc(
+		func(http.ResponseWriter, *http.Request) {})})
+	taken, refused := 0, 0
+	for began := time.Now(); time.Since(began) < time.Second; time.Sleep(time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			refused++
+			continue
+		}
+		taken++
+		_ = conn.Close()
+	}
+	if taken == 0 || refused < taken {
+		t.Errorf("%d connections taken and %d refused, want a few of many", taken, refused)
+	}
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -39,9 +39,11 @@
 	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
 	SoftConns int
-	// Full reports whether the process has no time for new connections, most of which are then reset; nil for never.
-	// Reopen opens the listener again; it is needed with Full.
-	Full   func() bool
+	// Full reports whether the process has no time for new connections, and ConnsPerSecond is how many it has time for;
+	// beyond that most are reset. Nil and 0 are for no bound.
+	Full           func() bool
+	ConnsPerSecond float64
+	// Reopen opens the listener again; both need it.
 	Reopen func() (net.Listener, error)
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
@@ -119,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.MaxConns > 0 || l.Full != nil {
+	if l.MaxConns > 0 || l.Reopen != nil {
 		ln = newGate(ln, l)
 	}
 	if l.TLS != nil {
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -162,7 +162,7 @@
 		return refuse(r, "no_server", clock.Second), true
 	}
 	if c.elsewhere(r) {
-		return withBasis(refuse(r, reasonBusy, busyRetryAfter), best.basis), true
+		return Decision{Request: r.ID, Refusal: Elsewhere(), Basis: best.basis}, true
 	}
 	wait := c.queueWait(r, len(pool))
 	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
@@ -175,6 +175,9 @@
 // all its streams would be late.
 func (c *Controller) elsewhere(r Request) bool { return c.busy && !r.Begun && len(r.Tried) == 0 }
 
+// Elsewhere returns the refusal that sends a caller to another router.
+func Elsewhere() *RefusedError { return &RefusedError{Reason: reasonBusy, RetryAfter: busyRetryAfter} }
+
 const (
 	// reasonBusy is the reason of refusals that only this router has.
 	reasonBusy = "router_busy"
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -99,6 +99,12 @@
 	}
 }
 
+// Listed reports whether a server may get work.
+func (c *Controller) Listed(id string) bool {
+	s, ok := c.servers[id]
+	return ok && slices.Contains(c.pools[s.entry.Service], s)
+}
+
 // Submit takes a new request. It returns false when the request waits.
 func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
 	r.asked = r.Arrived
