intake, httpserve: Prefer the home of a part by 60 ms, and refuse what would wait for room

Ruled out: lost servers (second homes took a third). Change: another server must begin 60 ms sooner in any case; connections beyond the bound are reset at once.

--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -65,7 +65,7 @@
 
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
-	if g.open != nil && g.taken && time.Since(g.opened) >= minOpen && g.crowded() {
+	for g.open != nil && (g.roomless() || g.taken && time.Since(g.opened) >= minOpen && g.crowded()) {
 		if err := g.shut(); err != nil {
 			return nil, err
 		}
@@ -79,6 +79,9 @@
 	return c, err
 }
 
+// roomless reports whether as many connections are open as may be.
+func (g *gate) roomless() bool { return g.room != nil && len(g.room) == cap(g.room) }
+
 // crowded reports whether new connections are to be reset now.
 func (g *gate) crowded() bool {
 	return g.full != nil && g.full() || g.rate != nil && g.rate.Tokens() < 1
@@ -87,7 +90,7 @@
 // shut closes the listener until there is time again, or for maxShut.
 func (g *gate) shut() error {
 	_ = g.listener().Close()
-	for end := time.Now().Add(maxShut); time.Now().Before(end) && g.crowded(); {
+	for end := time.Now().Add(maxShut); time.Now().Before(end) && (g.crowded() || g.roomless()); {
 		time.Sleep(shutPause)
 	}
 	var err error
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -32,6 +32,9 @@
 	spreadPenalty = 8.0
 	// secondPenalty is the same for the part's second home, so that it is read in one more place, not in many.
 	secondPenalty = 3.0
+	// homeTime is how much sooner another server must begin, in milliseconds, however short the part is: each part that
+	// is read once more displaces others.
+	homeTime = 60.0
 	// placePenalty is the extra time to a server in another place, in milliseconds.
 	placePenalty = 2.0
 	// placeSlots is the extra load that a plain server in another place counts for, in slots.
@@ -234,7 +237,7 @@
 			if s == homes[1] {
 				penalty = secondPenalty
 			}
-			score += penalty * f.Slope() * float64(again)
+			score += homeTime + penalty*f.Slope()*float64(again)
 		}
 		if s.entry.Place != c.o.Place {
 			score += placePenalty
