direct, hysteresis, platform: Count a router that sheds as overloaded

Cause: the one small router that stayed in rotation refused and reset for 16 seconds without its timers being late on average, so that it never gave way: the flood stayed there, and two large routers of the place stood idle. Ruled out: too few routers in rotation; three of six were. The listener is opened again until that succeeds, with a log line.

--- a/direct.go
+++ b/direct.go
@@ -121,7 +121,7 @@
 
 // ConfigurationWatcher follows the configuration on the platform.
 type ConfigurationWatcher interface {
-	// Newest returns the newest configuration.
+	// Newest returns the newest configuration; an empty text before the first was published.
 	Newest(ctx context.Context) (ConfigurationText, error)
 	// Next waits for a change after the last call of Newest or Next and returns the newest configuration. It
 	// returns false when there was none in time.
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -91,7 +91,7 @@
 		background.Go(func() {
 			gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
 		})
-		return servePlatform(ctx, s, r, *metrics)
+		return servePlatform(ctx, s, r, *metrics, logger)
 	}
 }
 
@@ -117,7 +117,9 @@
 }
 
 // servePlatform serves callers, the balancer's look and metrics while r runs.
-func servePlatform(ctx context.Context, s platform.Settings, r *direct.Router, metricsPort uint16) error {
+func servePlatform(
+	ctx context.Context, s platform.Settings, r *direct.Router, metricsPort uint16, logger *event.Logger,
+) error {
 	ready := mux.NewRouter()
 	ready.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !r.Ready() {
@@ -129,6 +131,13 @@
 	// Accepted connections have the listener's options, which saves calls for each.
 	lc := net.ListenConfig{KeepAlive: -1, Control: deadpeer.ControlListener}
 	listen := func() (net.Listener, error) { return lc.Listen(context.WithoutCancel(ctx), "tcp", s.Callers.String()) }
+	reopen := func() (net.Listener, error) {
+		ln, err := listen()
+		if err != nil {
+			logger.Log(event.ListenerNotOpened, "address", s.Callers, "error", err)
+		}
+		return ln, err
+	}
 	callers, err := listen()
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
@@ -137,8 +146,8 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Reopen: listen,
-			ConnsPerSecond: float64(s.Capacity) / connTime,
+			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Reopen: reopen,
+			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/cpulag/cpulag.go
+++ b/internal/cpulag/cpulag.go
@@ -1,7 +1,10 @@
 // Package cpulag tells from late timers whether a process gets too little processor time for its work.
 package cpulag
 
-import "github.com/laburnumring/laburnumring/pkg/clock"
+import (
+	"github.com/laburnumring/laburnumring/internal/hysteresis"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
 
 // Options are the settings of a Meter.
 type Options struct {
@@ -22,12 +25,10 @@
 
 // Meter follows a timer that should fire at a fixed interval. It is used by one goroutine at a time.
 type Meter struct {
-	o Options
 	// last is when the timer fired; 0 before.
 	last clock.Millis
-	// late is the decayed mean of how late it was, in milliseconds.
-	late       float64
-	overloaded bool
+	// late is how late it was, in milliseconds.
+	late *hysteresis.Meter
 }
 
 // New returns a meter that has seen nothing.
@@ -35,7 +36,9 @@
 	if o.Memory == 0 {
 		o.Memory = defaultMemory
 	}
-	return &Meter{o: o}
+	return &Meter{late: hysteresis.New(hysteresis.Options{
+		Enter: float64(o.Enter), Leave: float64(o.Leave), Memory: o.Memory,
+	})}
 }
 
 // Fired records that the timer fired, interval after it was set, and reports whether that changed the verdict.
@@ -46,20 +49,11 @@
 	}
 	passed := now - m.last
 	m.last = now
-	late := min(maxLate, max(0, passed-interval))
-	weight := min(1, float64(min(passed, maxLate))/float64(m.o.Memory))
-	m.late += weight * (float64(late) - m.late)
-	was := m.overloaded
-	if m.overloaded {
-		m.overloaded = m.late >= float64(m.o.Leave)
-	} else {
-		m.overloaded = m.late >= float64(m.o.Enter)
-	}
-	return was != m.overloaded
+	return m.late.Observe(float64(min(maxLate, max(0, passed-interval))), min(passed, maxLate))
 }
 
 // Late returns the mean lateness.
-func (m *Meter) Late() clock.Millis { return clock.Millis(m.late) }
+func (m *Meter) Late() clock.Millis { return clock.Millis(m.late.Mean()) }
 
 // Overloaded reports the verdict.
-func (m *Meter) Overloaded() bool { return m.overloaded }
+func (m *Meter) Overloaded() bool { return m.late.On() }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -12,7 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/laburnumring/laburnumring"
-	"github.com/laburnumring/laburnumring/internal/cpulag"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/intake"
@@ -63,23 +62,6 @@
 const (
 	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
 	pollInterval = 10 * time.Millisecond
-	// maxLag and calmLag are the mean lateness of the poll's timer from which on new connections should go elsewhere,
-	// and below which they may come again. A quota of processor time that is used up makes a mean of about 50 ms.
-	maxLag  = 90 * clock.Millis(1)
-	calmLag = 40 * clock.Millis(1)
-	// lagMemory is the time constant of that mean: the balancer takes two seconds more to act.
-	lagMemory = 700 * clock.Millis(1)
-	// busyLag, freeLag and busyMemory are the same for the refusal of streams, which must come before they are late: a
-	// request waits for the processor some five times until its first event.
-	busyLag    = 40 * clock.Millis(1)
-	freeLag    = 15 * clock.Millis(1)
-	busyMemory = 150 * clock.Millis(1)
-	// fullLag is the mean lateness, over the same memory, from which on new connections are reset: even refusals would
-	// come too late.
-	fullLag = 120 * clock.Millis(1)
-	// busyWait is how long after it was read a request may still be sent while there is too little processor time: its
-	// answer would wait as long again.
-	busyWait = 250 * clock.Millis(1)
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -118,9 +100,10 @@
 	away atomic.Bool
 	// busy says that the process has too little processor time for what is in progress.
 	busy atomic.Bool
-	// full says that it has none for new connections either.
-	full  atomic.Bool
-	count atomic.Int64
+	// full says that it has none for new connections either, refusing when these were last reset.
+	full     atomic.Bool
+	refusing atomic.Int64
+	count    atomic.Int64
 	// background owns the checks of servers.
 	background sync.WaitGroup
 
@@ -239,9 +222,6 @@
 // Ready reports whether new connections should come to this router.
 func (r *Router) Ready() bool { return r.serving() && !r.away.Load() }
 
-// Full reports whether the process has no processor time for new connections, and other routers may.
-func (r *Router) Full() bool { return r.full.Load() }
-
 // serving reports whether the router has a configuration and does not stop.
 func (r *Router) serving() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
 
@@ -259,36 +239,6 @@
 	return s == 0 || now < s+acceptTime
 }
 
-// poll looks at the waiting requests and at the processor's load again and again.
-func (r *Router) poll(ctx context.Context) {
-	lag := cpulag.New(cpulag.Options{Enter: maxLag, Leave: calmLag, Memory: lagMemory})
-	short := cpulag.New(cpulag.Options{Enter: busyLag, Leave: freeLag, Memory: busyMemory})
-	heavy := cpulag.New(cpulag.Options{Enter: fullLag, Leave: busyLag, Memory: busyMemory})
-	interval.Every(ctx, pollInterval, func() {
-		now := r.o.Clock.Now()
-		changed := lag.Fired(now, clock.FromDuration(pollInterval))
-		short.Fired(now, clock.FromDuration(pollInterval))
-		heavy.Fired(now, clock.FromDuration(pollInterval))
-		others := len(r.gossip.Peers()) > 0
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.overloaded = lag.Overloaded()
-		if r.overloaded {
-			r.rotation.Overloaded(now)
-		}
-		r.busy.Store(short.Overloaded())
-		r.full.Store(others && heavy.Overloaded())
-		r.intake.SetBusy(others && short.Overloaded())
-		away := r.rotation.Away(now, r.state(now))
-		if changed || away != r.away.Load() {
-			r.o.Logger.Log(event.OverloadChanged, "overloaded", lag.Overloaded(), "late_ms", int64(lag.Late()),
-				"takes_connections", !away, "in_progress", r.inbound.Load())
-		}
-		r.away.Store(away)
-		r.decide()
-	})
-}
-
 // decide tells waiting requests what became of them; callers hold mu.
 func (r *Router) decide() {
 	if r.intake.Waiting() == 0 {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -27,6 +27,7 @@
 	PeerAsked           = Event{2015, log.InfoLevel, "state taken from a peer"}
 	SettingsReloaded    = Event{1007, log.InfoLevel, "settings read again"}
 	OverloadChanged     = Event{1009, log.WarnLevel, "processor overload changed"}
+	ListenerNotOpened   = Event{1010, log.WarnLevel, "listener not opened again"}
 	LinesDropped        = Event{1008, log.WarnLevel, "log lines dropped"}
 	AgentReady          = Event{3001, log.InfoLevel, "agent ready"}
 	AgentSilent         = Event{3002, log.WarnLevel, "agent silent"}
@@ -71,7 +72,7 @@
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotLeveled,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerAsked,
-		SettingsReloaded, LinesDropped, OverloadChanged,
+		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened,
 		RequestPlaced, RequestTurnedAway, RequestEnded, AttemptFailed, ServerMisplaced, ServerUnreachable,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -13,8 +14,9 @@
 // TCP connections as such, so that they can be looked at.
 type gate struct {
 	// open opens the listener, and full reports whether the process has no time for new connections; nil for never.
-	open func() (net.Listener, error)
-	full func() bool
+	open     func() (net.Listener, error)
+	full     func() bool
+	refusing func()
 	// rate bounds the new connections; nil without a bound.
 	rate *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
@@ -23,11 +25,14 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 
-	mu sync.Mutex
-	// ln is the listener that is open now, opened when it was opened, and taken whether it has handed out a connection.
-	ln     net.Listener
+	// opened is when the listener was opened, and taken whether it has handed out a connection since; Accept alone, which
+	// one goroutine calls, uses them.
 	opened time.Time
 	taken  bool
+
+	mu sync.Mutex
+	// ln is the listener that is open now.
+	ln net.Listener
 }
 
 const (
@@ -35,16 +40,14 @@
 	// between two of these: a process that has no time takes a few each second.
 	maxShut = 200 * time.Millisecond
 	minOpen = 20 * time.Millisecond
-	// shutPause is the time between two looks whether there is time again.
+	// shutPause is the time between two looks whether there is time again, and between two tries to open the listener.
 	shutPause = 20 * time.Millisecond
 	// burstTime is how long connections may come at any rate: what they start waits for the processor.
 	burstTime = 150 * time.Millisecond
-	// reopenTries bounds the tries to open the listener again.
-	reopenTries = 50
 )
 
 func newGate(ln net.Listener, l Listener) *gate {
-	g := &gate{ln: ln, open: l.Reopen, full: l.Full, closed: make(chan struct{}), opened: time.Now()}
+	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, closed: make(chan struct{}), opened: time.Now()}
 	if l.ConnsPerSecond > 0 {
 		g.rate = rate.NewLimiter(rate.Limit(l.ConnsPerSecond), max(1, int(burstTime.Seconds()*l.ConnsPerSecond)))
 	}
@@ -69,6 +72,7 @@
 		if err := g.shut(); err != nil {
 			return nil, err
 		}
+		g.opened, g.taken = time.Now(), false
 	}
 	c, err := g.accept()
 	g.taken = true
@@ -90,18 +94,23 @@
 // shut closes the listener until there is time again, or for maxShut.
 func (g *gate) shut() error {
 	_ = g.listener().Close()
+	if g.refusing != nil {
+		g.refusing()
+	}
 	for end := time.Now().Add(maxShut); time.Now().Before(end) && (g.crowded() || g.roomless()); {
 		time.Sleep(shutPause)
 	}
-	var err error
-	for range reopenTries {
-		var ln net.Listener
-		if ln, err = g.open(); err == nil {
+	for {
+		ln, err := g.open()
+		if err == nil {
 			return g.replace(ln)
 		}
-		time.Sleep(shutPause)
+		select {
+		case <-g.closed:
+			return net.ErrClosed
+		case <-time.After(shutPause):
+		}
 	}
-	return err
 }
 
 // replace takes a new listener, unless the gate was closed meanwhile.
@@ -114,7 +123,7 @@
 		return net.ErrClosed
 	default:
 	}
-	g.ln, g.opened, g.taken = ln, time.Now(), false
+	g.ln = ln
 	return nil
 }
 
@@ -145,7 +154,10 @@
 // Close implements net.Listener.
 func (g *gate) Close() error {
 	g.closeOnce.Do(func() { close(g.closed) })
-	return g.listener().Close()
+	if err := g.listener().Close(); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // boundedTCPConn makes room when it is closed.
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -43,8 +43,10 @@
 	// beyond that most are reset. Nil and 0 are for no bound.
 	Full           func() bool
 	ConnsPerSecond float64
-	// Reopen opens the listener again; both need it.
+	// Reopen opens the listener again; both need it. It is tried until it succeeds.
 	Reopen func() (net.Listener, error)
+	// Refusing is told each time that new connections begin to be reset; it may be nil.
+	Refusing func()
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
