direct: Name the request in each refusal and in each call that came too late

Cause: requests refused while the router stops or has no configuration were logged without their id, and calls whose callers had left before a busy router read them were not logged at all. Change: the header is read first; a late call has a line of its own.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -81,11 +81,6 @@
 	r.inbound.Add(1)
 	defer r.inbound.Add(-1)
 	c := &call{w: w, req: req, seq: r.count.Add(1)}
-	if r.busy.Load() && httpserve.CallerGone(req.Context()) {
-		// The request was read too late to be of use.
-		r.metrics.ended.WithLabelValues("", "", resultLeft).Inc()
-		panic(http.ErrAbortHandler)
-	}
 	// An earlier request of the connection may have left a deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
 	defer func() {
@@ -138,6 +133,8 @@
 	if r.stopping.Load() != 0 || r.away.Load() {
 		c.w.Header().Set("Connection", "close")
 	}
+	var err error
+	c.head, err = r.o.Dialect.Call(c.req.Header)
 	if !r.accepting(now) {
 		return r.reject(c, http.StatusServiceUnavailable, "stopping")
 	}
@@ -145,10 +142,14 @@
 	if t == nil {
 		return r.reject(c, http.StatusServiceUnavailable, "no_configuration")
 	}
-	var err error
-	if c.head, err = r.o.Dialect.Call(c.req.Header); err != nil || c.head.ID == "" {
+	if err != nil || c.head.ID == "" {
 		return r.reject(c, http.StatusBadRequest, "bad_header")
 	}
+	if r.busy.Load() && httpserve.CallerGone(c.req.Context()) {
+		r.metrics.ended.WithLabelValues("", "", resultLeft).Inc()
+		r.o.Logger.Log(event.RequestEnded, "id", c.head.ID, "result", resultLeft, "status", 0)
+		panic(http.ErrAbortHandler)
+	}
 	path, _, _ := strings.Cut(c.req.RequestURI, "?")
 	var ok bool
 	if c.route, ok = t.Route(c.req.Host, path); !ok {
