rotation: Keep routers of one size away only while they are overloaded

Ruled out: load of the machine alone; the routers' log says that they were away, and not overloaded any more. Change: only routers of at most half of the largest one's size stay away after an overload.

--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -88,7 +88,8 @@
 }
 
 // Away reports whether this router, whose state is given, is to be out of the rotation. Where a router of the place was
-// overloaded lately, the smallest ones leave, and all routers find the same ones.
+// overloaded lately, the small ones leave; others leave while they are overloaded themselves. All routers find the same
+// ones.
 func (c *Controller) Away(now clock.Millis, own State) bool {
 	if !own.Serving {
 		return false
@@ -112,7 +113,8 @@
 		}
 		routers++
 	}
-	if !strained || !own.Strained && float64(own.Capacity) > smallPart*float64(largest) {
+	small := own.Capacity < largest && float64(own.Capacity) <= smallPart*float64(largest)
+	if small && !strained || !small && !own.Overloaded {
 		return false
 	}
 	slices.SortFunc(in, candidate.compare)
