direct, roster: Log the list behind each send and what changes in it

The logs could not tell apart the five ways by which an old entry may be used. A send now names the revision, age and origin of the list of servers and whether the server is missing from it; a change names the servers that came and went and counts those that are kept. Two metrics say the same over time.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -108,11 +108,15 @@
 }
 
 func (r *Router) logPlaced(now clock.Millis, c *call, d intake.Decision) {
+	r.mu.Lock()
+	revision, age, source, kept := r.roster.Revision(), r.listAge(now), r.listSource, r.roster.Kept(d.Server.ID)
+	r.mu.Unlock()
+	r.metrics.listAge.Observe(age.Duration().Seconds())
 	r.o.Logger.Log(event.RequestPlaced, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
 		"queued", d.Basis.Queued, "fresh", d.Basis.Fresh, "running", d.Basis.Running, "served", d.Basis.Served,
 		"level", d.Basis.Level, "peer_age_ms", int64(d.Basis.PeerAge), "send", c.sends+1,
-		"configuration", r.version())
+		"configuration", r.version(), "list", revision, "list_age_ms", int64(age), "list_source", source, "kept", kept)
 }
 
 // outgoing returns the request for a server.
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -125,6 +125,9 @@
 	breaks map[string][]broken
 	// listed says that the last own read of the server list succeeded.
 	listed bool
+	// ready holds the servers that may get work by the last change of the list, and listSource says whose it was.
+	ready      []laburnumring.ServerEntry
+	listSource string
 	// listReads and configurationReads divide the reads among the routers.
 	listReads          *readshare.Share
 	configurationReads *readshare.Share
@@ -261,6 +264,7 @@
 		defer r.mu.Unlock()
 		r.suspects.Prune(now)
 		r.metrics.state(r.intake.Waiting(), r.inbound.Load(), r.suspects.Held())
+		r.metrics.kept.Set(float64(r.roster.CountKept()))
 		for address, list := range r.breaks {
 			if now-list[len(list)-1].at > breakWindow {
 				delete(r.breaks, address)
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/readshare"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -142,7 +145,48 @@
 // serversChanged tells the decisions of a change; callers hold mu.
 func (r *Router) serversChanged(source string) {
 	ready := r.roster.Servers()
+	came, went := difference(r.ready, ready)
+	r.ready, r.listSource = ready, source
 	r.intake.SetServers(ready)
-	r.o.Logger.Log(event.ServersChanged, "revision", r.roster.Revision(), "ready", len(ready), "source", source)
+	r.o.Logger.Log(event.ServersChanged, "revision", r.roster.Revision(), "ready", len(ready), "source", source,
+		"came", named(came), "went", named(went), "kept", r.roster.CountKept(),
+		"list_age_ms", int64(r.listAge(r.o.Clock.Now())))
 	r.decide()
 }
+
+// listAge returns how long ago the list that is held was last known to be the newest; Unread when it never was.
+func (r *Router) listAge(now clock.Millis) clock.Millis {
+	if at := r.listReads.Newest(); at > 0 {
+		return now - at
+	}
+	return gossip.Unread
+}
+
+// difference returns the ids that are only in the second and only in the first of two lists sorted by id.
+func difference(before, after []laburnumring.ServerEntry) (came, went []string) {
+	i := 0
+	for _, e := range after {
+		for ; i < len(before) && before[i].ID < e.ID; i++ {
+			went = append(went, before[i].ID)
+		}
+		if i < len(before) && before[i].ID == e.ID {
+			i++
+			continue
+		}
+		came = append(came, e.ID)
+	}
+	for _, e := range before[i:] {
+		went = append(went, e.ID)
+	}
+	return came, went
+}
+
+// maxNamed bounds the servers that one log line names.
+const maxNamed = 16
+
+func named(ids []string) string {
+	if len(ids) > maxNamed {
+		return fmt.Sprintf("%s and %d more", strings.Join(ids[:maxNamed], ","), len(ids)-maxNamed)
+	}
+	return strings.Join(ids, ",")
+}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -19,6 +19,9 @@
 	waiting  prometheus.Gauge
 	inbound  prometheus.Gauge
 	suspects prometheus.Gauge
+	// listAge is the age of the list of backend servers at each send, and kept the servers missing from it.
+	listAge prometheus.Histogram
+	kept    prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -48,8 +51,17 @@
 		suspects: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_suspects", Help: "Requests that may take servers down.",
 		}),
+		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "laburnumring_direct_list_age_seconds",
+			Help:    "Time since the list of backend servers was known to be the newest, at each send.",
+			Buckets: []float64{.1, .3, .7, 1, 1.3, 1.6, 2, 3, 5, 10, 30},
+		}),
+		kept: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_servers_kept",
+			Help: "Backend servers that may get work though the newest list lacks them.",
+		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.waiting, m.inbound, m.suspects)
+	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.waiting, m.inbound, m.suspects, m.listAge, m.kept)
 	return m
 }
 
--- a/internal/readshare/readshare.go
+++ b/internal/readshare/readshare.go
@@ -49,6 +49,9 @@
 // Confirmed records that another router read the same, the given time ago.
 func (s *Share) Confirmed(now, age clock.Millis) { s.others = max(s.others, now-age) }
 
+// Newest returns the latest moment for which what is held is known to be the newest; 0 when there is none.
+func (s *Share) Newest() clock.Millis { return max(s.own, s.others) }
+
 // Wait returns how long not to read; 0 when it is time.
 func (s *Share) Wait(now clock.Millis) clock.Millis {
 	if s.own == 0 && s.others == 0 {
@@ -57,6 +60,6 @@
 	if s.rank < s.o.Readers {
 		return max(0, s.tried+s.o.Interval-now)
 	}
-	due := max(s.own, s.others) + s.o.MaxAge + clock.Millis(min(s.rank-s.o.Readers, maxStaggered))*s.o.Stagger
+	due := s.Newest() + s.o.MaxAge + clock.Millis(min(s.rank-s.o.Readers, maxStaggered))*s.o.Stagger
 	return max(0, due-now, s.tried+s.o.Stagger-now)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 type Roster struct {
 	// servers holds the listed servers by id.
 	servers map[string]laburnumring.ServerEntry
+	// kept holds the ids of those that are missing from the newest list.
+	kept map[string]bool
 	// revision is that of the newest list taken.
 	revision int64
 	// outage says that the last read failed; returned is when reads succeeded again.
@@ -62,8 +64,13 @@
 	if now < r.returned+returnGrace {
 		maps.Copy(next, r.servers)
 	}
+	r.kept = make(map[string]bool)
+	for id := range next {
+		r.kept[id] = true
+	}
 	for _, e := range l.Entries {
 		next[e.ID] = e
+		delete(r.kept, e.ID)
 	}
 	maps.DeleteFunc(r.misplaced, func(id string, e laburnumring.ServerEntry) bool { return next[id] != e })
 	if maps.Equal(next, r.servers) {
@@ -80,6 +87,7 @@
 		return false
 	}
 	r.revision = l.Revision
+	r.kept = nil
 	next := make(map[string]laburnumring.ServerEntry, len(l.Entries))
 	for _, e := range l.Entries {
 		next[e.ID] = e
@@ -109,6 +117,12 @@
 	return out
 }
 
+// Kept reports whether a server is missing from the newest list and may get work all the same.
+func (r *Roster) Kept(id string) bool { return r.kept[id] }
+
+// CountKept returns how many servers are kept.
+func (r *Roster) CountKept() int { return len(r.kept) }
+
 // List returns the newest list with the entries that are kept.
 func (r *Roster) List() laburnumring.ServerList {
 	entries := slices.Collect(maps.Values(r.servers))
