soak, platform: Reproduce late requests to servers that leave

The soak gains a mode in which servers leave one after the other while at most half of the routers are disturbed (turned away, reset, silent or slow at the store, or stopped), and checks at each server that nothing arrives from an undisturbed router two seconds after the leaving was acknowledged. Routers run as processes.

--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -23,12 +22,15 @@
 	routers := app.Flag("routers", "How many routers run.").Default("3").Int()
 	callers := app.Flag("callers", "How many callers send at a time.").Default("8").Int()
 	faulty := app.Flag("faulty", "How long faults are made.").Default("6s").Duration()
+	leaving := app.Flag("leaving", "Let servers leave one after the other while single routers are disturbed.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	os.Exit(play(*program, *dir, *start, *seeds, *routers, *callers, *faulty))
+	os.Exit(play(*dir, *start, *seeds, soak.Options{
+		Program: *program, Routers: *routers, Callers: *callers, Faulty: *faulty, Leaving: *leaving,
+	}))
 }
 
 // play plays the seeds and returns the exit status.
-func play(program, dir string, start, seeds uint64, routers, callers int, faulty time.Duration) int {
+func play(dir string, start, seeds uint64, o soak.Options) int {
 	out := json.NewEncoder(os.Stdout)
 	sum := soak.Counts{}
 	for seed := start; seed < start+seeds; seed++ {
@@ -36,12 +38,11 @@
 		err := os.MkdirAll(logs, 0o700)
 		var c soak.Counts
 		if err == nil {
-			c, err = soak.Run(soak.Options{
-				Program: program, Dir: logs, Seed: seed, Routers: routers, Callers: callers, Faulty: faulty,
-				Broken: func(promise, detail string) {
-					fmt.Fprintf(os.Stderr, "seed %d: %s: %s\n", seed, promise, detail)
-				},
-			})
+			o.Dir, o.Seed = logs, seed
+			o.Broken = func(promise, detail string) {
+				fmt.Fprintf(os.Stderr, "seed %d: %s: %s\n", seed, promise, detail)
+			}
+			c, err = soak.Run(o)
 		}
 		if err == nil {
 			err = out.Encode(c)
