roster, direct, readshare: Bound what is kept after an outage by the store's return

Callers' requests reached servers more than two seconds after their leaving was acknowledged. After a failed read a router kept every entry that was missing from the list for 2.2 s, counted from its own next successful read. So the time began up to 1.75 s late behind a silent store, began anew with each refused read, began long after a refusal in which peers had told the router everything, and covered servers that had been listed after the store's return and had left since.

An outage is now a time of 1.5 s or more in which no router is known to have read the list. What is kept is what was listed before it; it is given up 2.8 s after the last read that is known to have failed, with a last look 0.1 s before. To know that moment, reads are given up after 0.7 s and made again 0.25 s apart while they fail.

The roster's old script had the grace run from the first successful read and from an outage of any length; its cases stand in new scripts, with the time counted from the last failed read.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -67,6 +67,10 @@
 	// seconds in which a leaving server must get no more work.
 	listInterval = 700 * clock.Millis(1)
 	maxListAge   = 1000 * clock.Millis(1)
+	// listTimeout bounds a read of the list. A slow store takes 0.3 seconds; together with listRetry it is how exactly the
+	// end of an outage is known.
+	listTimeout = 700 * time.Millisecond
+	listRetry   = 250 * clock.Millis(1)
 	// maxConfigurationAge is the same for the configuration, which must be in force within two seconds.
 	maxConfigurationAge = 1500 * clock.Millis(1)
 	// readStagger keeps routers from beginning to read at the same time.
@@ -123,8 +127,9 @@
 	calls map[int64]*call
 	// breaks holds the requests whose server broke off lately, by the server's address.
 	breaks map[string][]broken
-	// listed says that the last own read of the server list succeeded.
-	listed bool
+	// listed says that the last own read of the server list succeeded, unlisted that it failed.
+	listed   bool
+	unlisted bool
 	// ready holds the servers that may get work by the last change of the list, and listSource says whose it was.
 	ready      []laburnumring.ServerEntry
 	listSource string
@@ -152,7 +157,7 @@
 		retries:  make(map[string]*retrycap.Cap),
 		calls:    make(map[int64]*call), breaks: make(map[string][]broken),
 		listReads: readshare.New(readshare.Options{
-			Readers: listReaders, Interval: listInterval, MaxAge: maxListAge, Stagger: readStagger,
+			Readers: listReaders, Interval: listInterval, Retry: listRetry, MaxAge: maxListAge, Stagger: readStagger,
 		}),
 		configurationReads: readshare.New(readshare.Options{
 			Readers: configurationReaders, MaxAge: maxConfigurationAge, Stagger: readStagger,
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -102,30 +102,53 @@
 // followServers keeps the list of backend servers up to date.
 func (r *Router) followServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !r.mayRead(ctx, r.listReads) {
-			continue
-		}
-		began := r.o.Clock.Now()
-		l, err := r.o.Servers.Servers(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			r.listFailed(err)
-			interval.Sleep(ctx, retryPause)
+		if !r.lookDue() && !r.mayRead(ctx, r.listReads) {
 			continue
 		}
+		r.readServers(ctx)
+	}
+}
+
+// readServers reads the list once.
+func (r *Router) readServers(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	began := r.o.Clock.Now()
+	l, err := r.o.Servers.Servers(bounded)
+	switch {
+	case ctx.Err() != nil:
+	case err == nil:
 		r.setServers(l, began)
+	case bounded.Err() != nil:
+		// The store may have returned at any time after the call.
+		r.listFailed(began, err)
+	default:
+		r.listFailed(r.o.Clock.Now(), err)
+	}
+}
+
+// lookDue gives up servers that are missing from the list for too long, and reports whether the list is to be read
+// before.
+func (r *Router) lookDue() bool {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.roster.Expire(now) {
+		r.serversChanged("expiry")
 	}
+	return r.roster.LookDue(now)
 }
 
-func (r *Router) listFailed(err error) {
+// listFailed records that a read of the list failed; at is the last moment at which the store is known to have been away.
+func (r *Router) listFailed(at clock.Millis, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listed = false
-	if r.roster.Failed() {
+	r.listReads.Failed()
+	r.roster.Failed(at)
+	if !r.unlisted {
 		r.o.Logger.Log(event.ListUnreachable, "revision", r.roster.Revision(), "error", err)
 	}
+	r.listed, r.unlisted = false, true
 }
 
 // setServers takes a list whose read began at the given time.
@@ -134,10 +157,10 @@
 	defer r.mu.Unlock()
 	r.listReads.Read(began)
 	if !r.listed {
-		r.listed = true
 		r.o.Logger.Log(event.ListReachable, "revision", l.Revision)
 	}
-	if r.roster.Take(r.o.Clock.Now(), l) {
+	r.listed, r.unlisted = true, false
+	if r.roster.Take(r.o.Clock.Now(), l, began) {
 		r.serversChanged("platform")
 	}
 }
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -52,6 +52,9 @@
 	if m.ConfigurationAge >= 0 && m.Configuration == r.text.Version {
 		r.configurationReads.Confirmed(now, m.ConfigurationAge)
 	}
+	if m.RosterAge >= 0 {
+		r.roster.Served(now - m.RosterAge)
+	}
 	listRead := m.RosterAge >= 0 && m.RosterAge <= maxListAge
 	if listRead && m.Roster == r.roster.Revision() {
 		r.listReads.Confirmed(now, m.RosterAge)
@@ -101,6 +104,8 @@
 type State struct {
 	Configuration laburnumring.ConfigurationText
 	Servers       laburnumring.ServerList
+	// ServersAge is how long ago the list was known to be the platform's newest; gossip.Unread when it never was.
+	ServersAge clock.Millis
 }
 
 // Peers is the service that routers offer each other.
@@ -117,6 +122,7 @@
 	}
 	if p.r.roster.Revision() > k.Roster {
 		s.Servers = p.r.roster.List()
+		s.ServersAge = p.r.listAge(p.r.o.Clock.Now())
 	}
 	return nil
 }
@@ -138,6 +144,7 @@
 	r.mu.Lock()
 	k := Known{Configuration: r.text.Version, Roster: r.roster.Revision()}
 	r.mu.Unlock()
+	began := r.o.Clock.Now()
 	s, err := askPeer(netip.AddrPortFrom(from, r.o.Address.Port()), k)
 	if err != nil {
 		// The next message of any peer makes another try.
@@ -149,7 +156,14 @@
 	r.configure(s.Configuration, from.String())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.roster.TakeFromPeer(s.Servers) {
+	if s.Servers.Revision <= r.roster.Revision() {
+		return
+	}
+	at := began - s.ServersAge
+	if s.ServersAge == gossip.Unread {
+		at = 0
+	}
+	if r.roster.Take(r.o.Clock.Now(), s.Servers, at) {
 		r.serversChanged(from.String())
 	}
 }
--- a/internal/readshare/readshare.go
+++ b/internal/readshare/readshare.go
@@ -10,6 +10,8 @@
 	Readers int
 	// Interval is the time between two reads of a reader.
 	Interval clock.Millis
+	// Retry is the time between two reads while they fail.
+	Retry clock.Millis
 	// MaxAge is the age of what is known from others from which on a router reads itself. Stagger is added for each
 	// router that is before it, so that not all begin at once.
 	MaxAge  clock.Millis
@@ -27,6 +29,8 @@
 	own    clock.Millis
 	tried  clock.Millis
 	others clock.Millis
+	// failing says that the last own read failed.
+	failing bool
 	// rank is how many routers are before this one.
 	rank int
 }
@@ -37,11 +41,17 @@
 // Rank sets how many routers are before this one.
 func (s *Share) Rank(n int) { s.rank = n }
 
-// Tried records that an own read begins, Read that it succeeded.
+// Tried records that an own read begins.
 func (s *Share) Tried(now clock.Millis) { s.tried = now }
 
 // Read records that an own read that began at the given time succeeded.
-func (s *Share) Read(began clock.Millis) { s.own = max(s.own, began) }
+func (s *Share) Read(began clock.Millis) {
+	s.own = max(s.own, began)
+	s.failing = false
+}
+
+// Failed records that an own read failed.
+func (s *Share) Failed() { s.failing = true }
 
 // Age returns how long ago an own read last succeeded; false when none has.
 func (s *Share) Age(now clock.Millis) (clock.Millis, bool) { return now - s.own, s.own > 0 }
@@ -54,12 +64,18 @@
 
 // Wait returns how long not to read; 0 when it is time.
 func (s *Share) Wait(now clock.Millis) clock.Millis {
-	if s.own == 0 && s.others == 0 {
-		return max(0, s.tried+s.o.Stagger-now)
+	pause := s.o.Stagger
+	if s.failing {
+		pause = s.o.Retry
 	}
-	if s.rank < s.o.Readers {
+	switch {
+	case s.Newest() == 0:
+		return max(0, s.tried+pause-now)
+	case s.rank < s.o.Readers && !s.failing:
 		return max(0, s.tried+s.o.Interval-now)
+	case s.rank < s.o.Readers:
+		return max(0, s.tried+pause-now)
 	}
 	due := s.Newest() + s.o.MaxAge + clock.Millis(min(s.rank-s.o.Readers, maxStaggered))*s.o.Stagger
-	return max(0, due-now, s.tried+s.o.Stagger-now)
+	return max(0, due-now, s.tried+pause-now)
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,40 +12,61 @@
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
-// TestRoster plays scripts of lists and outages. Entries are ID=STATE[/ADDRESS]; each command prints the servers that
-// may get work.
+// TestRoster plays scripts of lists and outages. Entries are ID=STATE[/ADDRESS]; "read" is when the list was the newest,
+// "at" when it is taken. Each command prints the servers that may get work, those that are kept in brackets.
 func TestRoster(t *testing.T) {
-	r := roster.New()
-	datadriven.RunTest(t, "testdata/roster", func(t *testing.T, d *datadriven.TestData) string {
-		l := laburnumring.ServerList{}
-		now := int64(0)
-		for _, a := range d.CmdArgs {
-			switch a.Key {
-			case "at":
-				d.ScanArgs(t, "at", &now)
-			case "revision":
-				d.ScanArgs(t, "revision", &l.Revision)
-			default:
-				if len(a.Vals) > 0 {
-					l.Entries = append(l.Entries, entry(a.Key, a.Vals[0]))
+	datadriven.Walk(t, "testdata/roster", func(t *testing.T, path string) {
+		r := roster.New()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			l := laburnumring.ServerList{}
+			var now, read int64
+			for _, a := range d.CmdArgs {
+				switch a.Key {
+				case "at":
+					d.ScanArgs(t, "at", &now)
+				case "read":
+					d.ScanArgs(t, "read", &read)
+				case "revision":
+					d.ScanArgs(t, "revision", &l.Revision)
+				default:
+					if len(a.Vals) > 0 {
+						l.Entries = append(l.Entries, entry(a.Key, a.Vals[0]))
+					}
 				}
 			}
-		}
-		switch d.Cmd {
-		case "take":
-			r.Take(clock.Millis(now), l)
-		case "peer":
-			r.TakeFromPeer(l)
-		case "fail":
-			r.Failed()
-		case "misplaced":
-			r.Misplaced(d.CmdArgs[0].Key)
-		}
-		var ids []string
-		for _, e := range r.Servers() {
-			ids = append(ids, e.ID+"@"+e.Address)
-		}
-		return fmt.Sprintf("revision %d: %s\n", r.Revision(), strings.Join(ids, " "))
+			if read == 0 {
+				read = now
+			}
+			out := ""
+			switch d.Cmd {
+			case "take":
+				r.Take(clock.Millis(now), l, clock.Millis(read))
+			case "fail":
+				r.Failed(clock.Millis(now))
+			case "served":
+				r.Served(clock.Millis(now))
+			case "tick":
+				out = fmt.Sprintf("look %v, ", r.LookDue(clock.Millis(now)))
+				r.Expire(clock.Millis(now))
+			case "misplaced":
+				r.Misplaced(d.CmdArgs[0].Key)
+			case "tell":
+				var ids []string
+				for _, e := range r.List().Entries {
+					ids = append(ids, e.ID)
+				}
+				out = fmt.Sprintf("told %s, ", strings.Join(ids, " "))
+			}
+			var ids []string
+			for _, e := range r.Servers() {
+				id := e.ID + "@" + e.Address
+				if r.Kept(e.ID) {
+					id = "(" + id + ")"
+				}
+				ids = append(ids, id)
+			}
+			return fmt.Sprintf("%srevision %d: %s\n", out, r.Revision(), strings.Join(ids, " "))
+		})
 	})
 }
 
