roster: Tell other routers the platform's list only

A router handed its peers the list with the entries that it kept after an outage, under the revision of the platform's list. The revision did not identify the content: a peer that took it had the newest revision, was confirmed by the others' reads and asked nobody, so that a server that had left stayed in use there until the next revision, also when the router that kept it had given it up.

Kept entries now stay with the router that keeps them; each decides by its own failed reads. The script "told" failed before.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -149,9 +149,9 @@
 // CountKept returns how many servers are kept.
 func (r *Roster) CountKept() int { return len(r.kept) }
 
-// List returns the newest list with what is kept.
+// List returns the newest list as the platform has it, without what is kept.
 func (r *Roster) List() laburnumring.ServerList {
-	entries := slices.Collect(maps.Values(r.all()))
+	entries := slices.Collect(maps.Values(r.listed))
 	sort(entries)
 	return laburnumring.ServerList{Revision: r.revision, Entries: entries}
 }
