gossip, transit: Count the time that a message was held up

A router that hears from a peer how long ago it read the list of backend servers took that age as of the moment of handling. What waited in the socket of a router without processor time counted as fresh, so that the router put its own read off by as long, and used an old list with a young age.

Messages carry the sender's clock; the delay over the shortest of the last ten seconds is added to the ages. TestHeldUpMessage failed before: 5 ms instead of 3,000.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/rotation"
 	"github.com/laburnumring/laburnumring/internal/suspect"
+	"github.com/laburnumring/laburnumring/internal/transit"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -27,13 +28,15 @@
 	// Incarnation is unique to the run of the sender's process, Seq numbers its messages.
 	Incarnation string `cbor:"1,keyasint"`
 	Seq         int64  `cbor:"2,keyasint"`
+	// Sent is when the message was made by the sender's clock.
+	Sent clock.Millis `cbor:"12,keyasint"`
 	// Peers are the IP addresses of the routers that the sender heard from lately.
 	Peers []netip.Addr `cbor:"3,keyasint"`
 	// Configuration and Roster are the versions that the sender holds.
 	Configuration int64 `cbor:"4,keyasint"`
 	Roster        int64 `cbor:"5,keyasint"`
-	// ConfigurationAge and RosterAge are how long ago the sender itself found them to be the platform's newest; Unread
-	// when it has not.
+	// ConfigurationAge and RosterAge are how long before the message's handling the sender itself found them to be the
+	// platform's newest; Unread when it has not.
 	ConfigurationAge clock.Millis `cbor:"6,keyasint"`
 	RosterAge        clock.Millis `cbor:"10,keyasint"`
 	// Work is the sender's load and rates.
@@ -94,6 +97,8 @@
 	sent        clock.Millis
 	incarnation string
 	seq         int64
+	// way tells messages that were held up.
+	way transit.Meter
 }
 
 // Exchange sends and receives messages.
@@ -186,7 +191,7 @@
 	m.Seq = x.seq
 	m.Peers = x.fresh(now)
 	x.mu.Unlock()
-	m.Incarnation = x.o.Incarnation
+	m.Incarnation, m.Sent = x.o.Incarnation, now
 	data, err := encoding.Marshal(m)
 	if err != nil {
 		x.o.Logger.Log(event.PeerMessageBad, "direction", "out", "error", err)
@@ -214,19 +219,32 @@
 			x.o.Logger.Log(event.PeerMessageBad, "direction", "in", "peer", from.Addr(), "error", err)
 			continue
 		}
-		if x.note(from.Addr().Unmap(), m) {
-			x.o.Received(from.Addr().Unmap(), m)
+		late, newer := x.note(from.Addr().Unmap(), m)
+		if newer {
+			x.o.Received(from.Addr().Unmap(), m.older(late))
 		}
 	}
 }
 
-// note records that a message came and reports whether it is newer than the last one.
-func (x *Exchange) note(from netip.Addr, m Message) bool {
+// older returns the message with its ages at the time of its handling, when it was held up for a while on its way.
+func (m Message) older(late clock.Millis) Message {
+	if m.ConfigurationAge != Unread {
+		m.ConfigurationAge += late
+	}
+	if m.RosterAge != Unread {
+		m.RosterAge += late
+	}
+	return m
+}
+
+// note records that a message came. It returns for how long the message was held up and whether it is newer than the
+// last one.
+func (x *Exchange) note(from netip.Addr, m Message) (clock.Millis, bool) {
 	now := x.o.Clock.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if from == x.o.Address.Addr() || m.Incarnation == x.o.Incarnation {
-		return false
+		return 0, false
 	}
 	p, ok := x.peers[from]
 	if !ok {
@@ -234,14 +252,18 @@
 		x.peers[from] = p
 	}
 	if p.incarnation == m.Incarnation && m.Seq <= p.seq {
-		return false
+		return 0, false
+	}
+	if p.incarnation != m.Incarnation {
+		p.way = transit.Meter{}
 	}
 	p.heard, p.incarnation, p.seq = now, m.Incarnation, m.Seq
+	late := p.way.Late(now, m.Sent)
 	for _, a := range m.Peers {
 		if _, ok := x.peers[a]; !ok && a != x.o.Address.Addr() && len(x.peers) < maxPeers {
 			// Its first message makes it a peer of its own; until then it is tried for a while.
 			x.peers[a] = &peer{heard: now - freshLife}
 		}
 	}
-	return true
+	return late, true
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
 	"github.com/laburnumring/laburnumring/internal/event"
@@ -17,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -88,3 +90,57 @@
 		t.Errorf("received %+v", m)
 	}
 }
+
+// TestHeldUpMessage sends two messages that say that the list has just been read, the second of which is handled long after
+// it was sent, as by a process without processor time: the age must count that.
+func TestHeldUpMessage(t *testing.T) {
+	const held = 3000
+	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := netip.MustParseAddrPort(probe.LocalAddr().String())
+	if err := probe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ages := make(chan clock.Millis, 2)
+	x := gossip.New(gossip.Options{
+		Address: own, Incarnation: "own", Clock: wallclock.New(), Logger: event.NewLogger(io.Discard, "logfmt", "test"),
+		Message:  func() gossip.Message { return gossip.Message{} },
+		Received: func(_ netip.Addr, m gossip.Message) { ages <- m.RosterAge },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		if err := x.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	conn, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 2)}, net.UDPAddrFromAddrPort(own))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	for i, sent := range []clock.Millis{held, 0} {
+		data, err := cbor.Marshal(gossip.Message{Incarnation: "peer", Seq: int64(i + 1), Sent: sent, RosterAge: 5})
+		if err != nil {
+			t.Fatal(err)
+		}
+		age := clock.Millis(-1)
+		for age < 0 {
+			// A refusal says that the exchange does not listen yet.
+			if _, err := conn.Write(data); err != nil {
+				continue
+			}
+			select {
+			case age = <-ages:
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		if i == 1 && age < held {
+			t.Errorf("the list counts as %d ms old, want at least %d", age, held)
+		}
+	}
+}
