direct, roster: Send nothing by a list of unknown age

Between two reads of the list of backend servers nothing bounded its age at the send. A read that does not come to an end, or a process that stood still, left the list in use as it was: a router that wakes up sent by what it knew when it stopped.

Before a send the list must be known to be the newest of at most 1.7 s ago, or a read must have failed within the last 1.6 s, so that the store is away. Otherwise the request waits for the next news of the list; a connection that took long to make is checked again.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -37,20 +37,38 @@
 	reason     string
 }
 
-// attempt sends the request to one server and passes its answer on.
-func (r *Router) attempt(ctx context.Context, c *call, d intake.Decision) ending {
-	conn, err := r.pool.Get(ctx, d.Server.Address)
-	if err != nil {
-		if ctx.Err() == nil {
-			r.o.Logger.Log(event.ServerUnreachable, "id", c.head.ID, "server", d.Server.ID,
-				"address", d.Server.Address, "error", err)
-			return ending{result: intake.Unreachable, err: err}
+// connect returns a connection to the server once the list that names it is young enough, or how the attempt ended.
+func (r *Router) connect(ctx context.Context, c *call, d intake.Decision) (*upstream.Conn, ending) {
+	for {
+		if !r.awaitList(ctx) {
+			return nil, ending{result: intake.Left, err: ctx.Err()}
 		}
-		return ending{result: intake.Left, err: err}
-	}
-	if httpserve.CallerGone(c.req.Context()) {
+		conn, err := r.pool.Get(ctx, d.Server.Address)
+		if err != nil {
+			if ctx.Err() == nil {
+				r.o.Logger.Log(event.ServerUnreachable, "id", c.head.ID, "server", d.Server.ID,
+					"address", d.Server.Address, "error", err)
+				return nil, ending{result: intake.Unreachable, err: err}
+			}
+			return nil, ending{result: intake.Left, err: err}
+		}
+		if httpserve.CallerGone(c.req.Context()) {
+			r.pool.Keep(conn)
+			return nil, c.left(errors.New("caller left before the request was sent"))
+		}
+		if r.listYoung() {
+			return conn, ending{}
+		}
+		// Making the connection took too long.
 		r.pool.Keep(conn)
-		return c.left(errors.New("caller left before the request was sent"))
+	}
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (r *Router) attempt(ctx context.Context, c *call, d intake.Decision) ending {
+	conn, end := r.connect(ctx, c, d)
+	if conn == nil {
+		return end
 	}
 	now := r.o.Clock.Now()
 	if end, ok := r.overtaken(now, c, d); ok {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -71,6 +71,10 @@
 	// end of an outage is known.
 	listTimeout = 700 * time.Millisecond
 	listRetry   = 250 * clock.Millis(1)
+	// maxSendAge is the age of the list from which on nothing is sent before it is read again, unless a read has failed
+	// not longer than failureLife ago. It leaves 0.3 of the two seconds to the send; failureLife lasts over two reads.
+	maxSendAge  = 1700 * clock.Millis(1)
+	failureLife = 1600 * clock.Millis(1)
 	// maxConfigurationAge is the same for the configuration, which must be in force within two seconds.
 	maxConfigurationAge = 1500 * clock.Millis(1)
 	// readStagger keeps routers from beginning to read at the same time.
@@ -127,6 +131,8 @@
 	calls map[int64]*call
 	// breaks holds the requests whose server broke off lately, by the server's address.
 	breaks map[string][]broken
+	// listNews is closed and replaced when the list was read, could not be read, or was confirmed by a peer.
+	listNews chan struct{}
 	// listed says that the last own read of the server list succeeded, unlisted that it failed.
 	listed   bool
 	unlisted bool
@@ -154,8 +160,8 @@
 		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
 		suspects: suspect.New(suspect.Options{}),
 		rotation: rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
-		retries:  make(map[string]*retrycap.Cap),
-		calls:    make(map[int64]*call), breaks: make(map[string][]broken),
+		retries:  make(map[string]*retrycap.Cap), listNews: make(chan struct{}),
+		calls: make(map[int64]*call), breaks: make(map[string][]broken),
 		listReads: readshare.New(readshare.Options{
 			Readers: listReaders, Interval: listInterval, Retry: listRetry, MaxAge: maxListAge, Stagger: readStagger,
 		}),
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -145,6 +145,7 @@
 	defer r.mu.Unlock()
 	r.listReads.Failed()
 	r.roster.Failed(at)
+	r.tellListNews()
 	if !r.unlisted {
 		r.o.Logger.Log(event.ListUnreachable, "revision", r.roster.Revision(), "error", err)
 	}
@@ -163,6 +164,39 @@
 	if r.roster.Take(r.o.Clock.Now(), l, began) {
 		r.serversChanged("platform")
 	}
+	r.tellListNews()
+}
+
+// tellListNews wakes what waits for the list; callers hold mu.
+func (r *Router) tellListNews() {
+	close(r.listNews)
+	r.listNews = make(chan struct{})
+}
+
+// listYoung reports whether the list may be sent by: it is young, or the platform's list cannot be read.
+func (r *Router) listYoung() bool {
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	age := r.listAge(now)
+	return age != gossip.Unread && age <= maxSendAge || r.roster.FailedSince(now-failureLife)
+}
+
+// awaitList waits until the list may be sent by. It reports false when ctx has ended before.
+func (r *Router) awaitList(ctx context.Context) bool {
+	for {
+		r.mu.Lock()
+		news := r.listNews
+		r.mu.Unlock()
+		if r.listYoung() {
+			return true
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return false
+		}
+	}
 }
 
 // serversChanged tells the decisions of a change; callers hold mu.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -58,6 +58,7 @@
 	listRead := m.RosterAge >= 0 && m.RosterAge <= maxListAge
 	if listRead && m.Roster == r.roster.Revision() {
 		r.listReads.Confirmed(now, m.RosterAge)
+		r.tellListNews()
 	}
 	newer := m.Configuration > r.text.Version || listRead && m.Roster > r.roster.Revision()
 	if newer && !r.asking {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -59,6 +59,9 @@
 // Failed records that an own read failed; at is the last moment at which the store is known to have been away.
 func (r *Roster) Failed(at clock.Millis) { r.failed = max(r.failed, at) }
 
+// FailedSince reports whether an own read has failed at a time or after it.
+func (r *Roster) FailedSince(at clock.Millis) bool { return r.failed >= at }
+
 // Served records that some router read the list at a time, whatever its revision was.
 func (r *Roster) Served(at clock.Millis) {
 	if r.away(at) {
