soak: Let entries of living servers lapse in outages of the store

Beside the bound for leaving servers, no request may be refused for want of a server, which is what keeping entries is for.

--- a/Makefile
+++ b/Makefile
@@ -53,9 +53,12 @@
 
 .PHONY: bench slopes platform-build platform-soak
 
+# SOAK_FLAGS="--routers 4 --faulty 14s --leaving" or "--lapsing" plays servers that leave while routers are disturbed.
+SOAK_FLAGS ?=
+
 # Runs routers as processes on loopback under random faults; one JSON object a seed, the last line is the sum.
 platform-soak: build platform-build
-	bin/platformsoak --seeds $(SEEDS) --seed-start $(SEED_START)
+	bin/platformsoak --seeds $(SEEDS) --seed-start $(SEED_START) $(SOAK_FLAGS)
 
 # Builds as the platform does.
 platform-build:
--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -23,9 +23,10 @@
 	callers := app.Flag("callers", "How many callers send at a time.").Default("8").Int()
 	faulty := app.Flag("faulty", "How long faults are made.").Default("6s").Duration()
 	leaving := app.Flag("leaving", "Let servers leave one after the other while single routers are disturbed.").Bool()
+	lapsing := app.Flag("lapsing", "The same, with outages of the store in which entries lapse.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	os.Exit(play(*dir, *start, *seeds, soak.Options{
-		Program: *program, Routers: *routers, Callers: *callers, Faulty: *faulty, Leaving: *leaving,
+		Program: *program, Routers: *routers, Callers: *callers, Faulty: *faulty, Leaving: *leaving, Lapsing: *lapsing,
 	}))
 }
 
