roster: Count a read that fails after a peer has reported the store's return

Two routers took the list from a peer while their own read, begun 0.5 s before the store's return, was without answer. The last failure that they knew was the read before, so that they gave entries up 2.1 s after the return seen by the peer, less the age of that read: too soon.

The read that fails later now moves the end to 2.8 s after its beginning, which still lies before the store's return.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -56,8 +56,14 @@
 // Revision returns the revision of the newest list taken.
 func (r *Roster) Revision() int64 { return r.revision }
 
-// Failed records that an own read failed; at is the last moment at which the store is known to have been away.
-func (r *Roster) Failed(at clock.Millis) { r.failed = max(r.failed, at) }
+// Failed records that an own read failed; at is the last moment at which the store is known to have been away. A read
+// that began in an outage may fail after a peer has reported its end.
+func (r *Roster) Failed(at clock.Millis) {
+	r.failed = max(r.failed, at)
+	if at <= r.ended && at+keepTime > r.until {
+		r.until, r.looked = at+keepTime, false
+	}
+}
 
 // FailedSince reports whether an own read has failed at a time or after it.
 func (r *Roster) FailedSince(at clock.Millis) bool { return r.failed >= at }
