--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/suspect"
@@ -129,7 +130,9 @@
 	r.mu.Lock()
 	revision, age, source, kept := r.roster.Revision(), r.listAge(now), r.listSource, r.roster.Kept(d.Server.ID)
 	r.mu.Unlock()
-	r.metrics.listAge.Observe(age.Duration().Seconds())
+	if age != gossip.Unread {
+		r.metrics.listAge.Observe(age.Duration().Seconds())
+	}
 	r.o.Logger.Log(event.RequestPlaced, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
 		"queued", d.Basis.Queued, "fresh", d.Basis.Fresh, "running", d.Basis.Running, "served", d.Basis.Served,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -86,7 +86,7 @@
 	if l.Revision < r.revision {
 		return false
 	}
-	before := r.all()
+	before, keptBefore := r.all(), len(r.kept)
 	mayHaveLapsed := r.at < r.ended && now < r.until
 	for id, e := range r.listed {
 		if mayHaveLapsed && e.State == laburnumring.ServerReady {
@@ -101,7 +101,7 @@
 	r.revision, r.at = l.Revision, max(r.at, at)
 	after := r.all()
 	maps.DeleteFunc(r.misplaced, func(id string, e laburnumring.ServerEntry) bool { return after[id] != e })
-	return !maps.Equal(before, after)
+	return !maps.Equal(before, after) || len(r.kept) != keptBefore
 }
 
 // LookDue reports once whether it is time for a last look before kept servers are given up.
