gossip, direct, readshare: Relay once what was heard of the list's age

With 300 routers each pair exchanged a message every 3.3 s, while what a peer has read counts for one second and a peer is forgotten after two.

A period lasts 0.3 s at most, in which the 27 peers that have waited longest get a message; peers count as heard for three turns; a message names 16 of them. Routers tell also what they heard directly from one that had read, with its age. It is told on no further: each teller leaves out the time of the way, which must not add up.

Up to 28 routers nothing changes but the relayed ages.

--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -123,12 +123,11 @@
 	r.decide()
 }
 
-// listAge returns how long ago the list that is held was last known to be the newest; Unread when it never was.
+// listAge returns how long ago the list that is held was last known to be the newest; Unread when it never was. Callers
+// hold mu.
 func (r *Router) listAge(now clock.Millis) clock.Millis {
-	if at := r.listReads.Newest(); at > 0 {
-		return now - at
-	}
-	return gossip.Unread
+	at := r.listReads.Newest()
+	return orUnread(now-at, at > 0)
 }
 
 // difference returns the ids that are only in the second and only in the first of two lists sorted by id.
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -31,7 +31,10 @@
 	entries, r.told = r.suspects.News(now, newsLife, r.told, maxOldEntries)
 	return gossip.Message{
 		Configuration: r.text.Version, Roster: r.roster.Revision(),
-		ConfigurationAge: ageOf(now, r.configurationReads), RosterAge: ageOf(now, r.listReads),
+		ConfigurationAge: orUnread(r.configurationReads.Age(now)), RosterAge: orUnread(r.listReads.Age(now)),
+		Heard: &gossip.Ages{
+			Configuration: orUnread(r.configurationReads.HeardAge(now)), Roster: orUnread(r.listReads.HeardAge(now)),
+		},
 		Work: r.intake.Report(now), Suspects: entries, State: r.state(now),
 	}
 }
@@ -49,15 +52,18 @@
 	rank := r.rank()
 	r.configurationReads.Rank(rank)
 	r.listReads.Rank(rank)
-	if m.ConfigurationAge >= 0 && m.Configuration == r.text.Version {
-		r.configurationReads.Confirmed(now, m.ConfigurationAge)
-	}
-	if m.RosterAge >= 0 {
-		r.roster.Served(now - m.RosterAge)
+	if m.Configuration == r.text.Version {
+		confirm(r.configurationReads, now, m.ConfigurationAge, m.Heard.Configuration)
+	}
+	listRead := false
+	for _, age := range []clock.Millis{m.RosterAge, m.Heard.Roster} {
+		if age != gossip.Unread {
+			r.roster.Served(now - age)
+			listRead = listRead || age <= maxListAge
+		}
 	}
-	listRead := m.RosterAge >= 0 && m.RosterAge <= maxListAge
 	if listRead && m.Roster == r.roster.Revision() {
-		r.listReads.Confirmed(now, m.RosterAge)
+		confirm(r.listReads, now, m.RosterAge, m.Heard.Roster)
 		r.tellListNews()
 	}
 	newer := m.Configuration > r.text.Version || listRead && m.Roster > r.roster.Revision()
@@ -67,6 +73,16 @@
 	}
 }
 
+// confirm takes a peer's ages of what it and this router hold.
+func confirm(s *readshare.Share, now, age, heard clock.Millis) {
+	if age != gossip.Unread {
+		s.Confirmed(now, age)
+	}
+	if heard != gossip.Unread {
+		s.Relayed(now, heard)
+	}
+}
+
 const (
 	// newsLife is how long a change of a suspected request is told in each message; some are lost.
 	newsLife = 1 * clock.Second
@@ -74,9 +90,9 @@
 	maxOldEntries = 4
 )
 
-// ageOf returns the age of what this router has read itself.
-func ageOf(now clock.Millis, s *readshare.Share) clock.Millis {
-	if age, ok := s.Age(now); ok {
+// orUnread returns an age, or Unread without one.
+func orUnread(age clock.Millis, ok bool) clock.Millis {
+	if ok {
 		return age
 	}
 	return gossip.Unread
@@ -105,8 +121,10 @@
 type State struct {
 	Configuration laburnumring.ConfigurationText
 	Servers       laburnumring.ServerList
-	// ServersAge is how long ago the list was known to be the platform's newest; gossip.Unread when it never was.
-	ServersAge clock.Millis
+	// ServersAge is how long ago the peer itself found the list to be the platform's newest, ServersHeard the same for
+	// routers from which it heard that; gossip.Unread without.
+	ServersAge   clock.Millis
+	ServersHeard clock.Millis
 }
 
 // Peers is the service that routers offer each other.
@@ -123,7 +141,8 @@
 	}
 	if p.r.roster.Revision() > k.Roster {
 		s.Servers = p.r.roster.List()
-		s.ServersAge = p.r.listAge(p.r.o.Clock.Now())
+		now := p.r.o.Clock.Now()
+		s.ServersAge, s.ServersHeard = orUnread(p.r.listReads.Age(now)), orUnread(p.r.listReads.HeardAge(now))
 	}
 	return nil
 }
@@ -160,13 +179,17 @@
 	if s.Servers.Revision <= r.roster.Revision() {
 		return
 	}
-	at := began - s.ServersAge
-	if s.ServersAge == gossip.Unread {
-		at = 0
+	at := clock.Millis(0)
+	for _, age := range []clock.Millis{s.ServersAge, s.ServersHeard} {
+		if age != gossip.Unread {
+			at = max(at, began-age)
+		}
 	}
 	if r.roster.Take(r.o.Clock.Now(), s.Servers, at) {
 		r.serversChanged(from.String())
 	}
+	confirm(r.listReads, began, s.ServersAge, s.ServersHeard)
+	r.tellListNews()
 }
 
 func askPeer(address netip.AddrPort, k Known) (State, error) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,10 +3,12 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +41,9 @@
 	// platform's newest; Unread when it has not.
 	ConfigurationAge clock.Millis `cbor:"6,keyasint"`
 	RosterAge        clock.Millis `cbor:"10,keyasint"`
+	// Heard holds the same ages by the word of routers from which the sender heard directly; nil in messages of routers
+	// that do not tell.
+	Heard *Ages `cbor:"13,keyasint"`
 	// Work is the sender's load and rates.
 	Work intake.Report `cbor:"7,keyasint"`
 	// State says whether the sender takes new connections.
@@ -47,7 +52,13 @@
 	Suspects []suspect.Entry `cbor:"9,keyasint"`
 }
 
-// Unread is the age of what the sender has not read itself.
+// Ages are how long ago the versions that a router holds were known to be the platform's newest; Unread when they were not.
+type Ages struct {
+	Configuration clock.Millis `cbor:"1,keyasint"`
+	Roster        clock.Millis `cbor:"2,keyasint"`
+}
+
+// Unread is the age of what was not read.
 const Unread clock.Millis = -1
 
 // Options are the settings of an Exchange.
@@ -66,17 +77,24 @@
 }
 
 const (
-	// minPeriod is the time between messages among few routers; some requests arrive at each server in it. With many
-	// the period is peerPeriod for each, which bounds what a small VM sends and reads.
+	// minPeriod is the least time between messages; some requests arrive at each server in it. With many peers the
+	// period is peerPeriod for each that gets one, which bounds what a small VM sends and reads.
 	minPeriod  = 100 * time.Millisecond
 	peerPeriod = 11 * time.Millisecond
-	// peerLife is how long after its last message a peer still gets messages, and seedPeriod the time between
-	// messages to a seed that is silent.
-	peerLife   = 10 * clock.Second
-	freshLife  = 2 * clock.Second
-	seedPeriod = 1 * clock.Second
-	maxMessage = 16 << 10
-	maxPeers   = 1024
+	// roundPeers is the most peers that get a message in one period. What they learn they tell to others, so that news
+	// reaches hundreds of routers in two or three periods.
+	roundPeers = 27
+	// maxNamed is how many peers a message names.
+	maxNamed = 16
+	// freshLife is the least time after its last message for which a peer counts as heard, and freshRounds how often it
+	// would have had its turn meanwhile. Messages go on for peerLife more. seedPeriod is the time between messages to a
+	// peer that is silent.
+	freshLife   = 2 * clock.Second
+	freshRounds = 3
+	peerLife    = 8 * clock.Second
+	seedPeriod  = 1 * clock.Second
+	maxMessage  = 16 << 10
+	maxPeers    = 1024
 )
 
 // encoding shortens the rates, of which nobody needs more than three digits.
@@ -150,35 +168,47 @@
 
 func (x *Exchange) fresh(now clock.Millis) []netip.Addr {
 	var out []netip.Addr
+	life := x.life()
 	for a, p := range x.peers {
-		if p.heard != 0 && now-p.heard < freshLife {
+		if p.heard != 0 && now-p.heard < life {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
-// due returns the peers that get a message now.
+// life returns how long after its last message a peer counts as heard.
+func (x *Exchange) life() clock.Millis {
+	turn := clock.FromDuration(time.Duration(len(x.peers)) * peerPeriod)
+	return max(freshLife, freshRounds*turn)
+}
+
+// due returns the peers that get a message now, those first that have waited longest.
 func (x *Exchange) due(now clock.Millis) []netip.Addr {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var out []netip.Addr
+	life := x.life()
 	for a, p := range x.peers {
-		silent := p.heard == 0 || now-p.heard > freshLife
+		silent := p.heard == 0 || now-p.heard > life
 		switch {
 		case silent && now-p.sent < seedPeriod:
 			continue
-		case silent && !x.seeds[a] && now-p.heard > peerLife:
+		case silent && !x.seeds[a] && now-p.heard > life+peerLife:
 			delete(x.peers, a)
 			continue
 		}
-		p.sent = now
 		out = append(out, a)
 	}
+	slices.SortFunc(out, func(a, b netip.Addr) int { return cmp.Compare(x.peers[a].sent, x.peers[b].sent) })
+	out = out[:min(len(out), roundPeers)]
+	for _, a := range out {
+		x.peers[a].sent = now
+	}
 	return out
 }
 
-// send tells the peers and returns how many there are.
+// send tells some peers and returns how many.
 func (x *Exchange) send(conn *net.UDPConn) int {
 	now := x.o.Clock.Now()
 	to := x.due(now)
@@ -189,7 +219,9 @@
 	x.mu.Lock()
 	x.seq++
 	m.Seq = x.seq
+	// The order of a map is random.
 	m.Peers = x.fresh(now)
+	m.Peers = m.Peers[:min(len(m.Peers), maxNamed)]
 	x.mu.Unlock()
 	m.Incarnation, m.Sent = x.o.Incarnation, now
 	data, err := encoding.Marshal(m)
@@ -228,11 +260,13 @@
 
 // older returns the message with its ages at the time of its handling, when it was held up for a while on its way.
 func (m Message) older(late clock.Millis) Message {
-	if m.ConfigurationAge != Unread {
-		m.ConfigurationAge += late
+	if m.Heard == nil {
+		m.Heard = &Ages{Configuration: Unread, Roster: Unread}
 	}
-	if m.RosterAge != Unread {
-		m.RosterAge += late
+	for _, age := range []*clock.Millis{&m.ConfigurationAge, &m.RosterAge, &m.Heard.Configuration, &m.Heard.Roster} {
+		if *age != Unread {
+			*age += late
+		}
 	}
 	return m
 }
@@ -262,7 +296,7 @@
 	for _, a := range m.Peers {
 		if _, ok := x.peers[a]; !ok && a != x.o.Address.Addr() && len(x.peers) < maxPeers {
 			// Its first message makes it a peer of its own; until then it is tried for a while.
-			x.peers[a] = &peer{heard: now - freshLife}
+			x.peers[a] = &peer{heard: now - x.life()}
 		}
 	}
 	return late, true
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -144,3 +145,76 @@
 		}
 	}
 }
+
+// TestNewsAmongMany runs many routers of which one reads something each tenth of a second and tells it with its age. Each
+// of the others must know it as newer than a second, by the reader's word or by that of one who heard it.
+func TestNewsAmongMany(t *testing.T) {
+	const (
+		routers = 90
+		settle  = 4 * time.Second
+		watch   = 3 * time.Second
+		bound   = 1 * clock.Second
+	)
+	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.MustParseAddrPort(probe.LocalAddr().String()).Port()
+	if err := probe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	now := wallclock.New()
+	var mu sync.Mutex
+	heard, relayed := make([]clock.Millis, routers), make([]clock.Millis, routers)
+	for i := range routers {
+		x := gossip.New(gossip.Options{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i + 1)}), port), Incarnation: fmt.Sprint(i),
+			Seeds: []netip.Addr{netip.MustParseAddr("127.0.1.1")}, Clock: now,
+			Logger: event.NewLogger(io.Discard, "logfmt", "test"),
+			Message: func() gossip.Message {
+				mu.Lock()
+				defer mu.Unlock()
+				m := gossip.Message{RosterAge: gossip.Unread, Heard: &gossip.Ages{Roster: gossip.Unread}}
+				switch {
+				case i == 0:
+					m.RosterAge = now.Now() % 100
+				case heard[i] > 0:
+					m.Heard.Roster = now.Now() - heard[i]
+				}
+				return m
+			},
+			Received: func(_ netip.Addr, m gossip.Message) {
+				mu.Lock()
+				defer mu.Unlock()
+				if m.RosterAge != gossip.Unread {
+					heard[i] = max(heard[i], now.Now()-m.RosterAge)
+				}
+				if m.Heard.Roster != gossip.Unread {
+					relayed[i] = max(relayed[i], now.Now()-m.Heard.Roster)
+				}
+			},
+		})
+		wg.Go(func() {
+			if err := x.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	time.Sleep(settle)
+	worst := clock.Millis(0)
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		mu.Lock()
+		for i := 1; i < routers; i++ {
+			worst = max(worst, now.Now()-max(heard[i], relayed[i]))
+		}
+		mu.Unlock()
+	}
+	t.Logf("worst %d ms", worst)
+	if worst > bound {
+		t.Errorf("a router knew what was read %d ms ago, want at most %d", worst, bound)
+	}
+}
--- a/internal/readshare/readshare.go
+++ b/internal/readshare/readshare.go
@@ -24,11 +24,12 @@
 // Share knows when what is held was last confirmed. It is used by one goroutine at a time.
 type Share struct {
 	o Options
-	// own is when the last own read succeeded and tried when one began; others is the latest moment for which another
-	// router has confirmed what is held. All are 0 before.
-	own    clock.Millis
-	tried  clock.Millis
-	others clock.Millis
+	// own is when the last own read succeeded and tried when one began; heard is the latest moment for which a router has
+	// confirmed what is held by a read of its own, relayed by what it heard. All are 0 before.
+	own     clock.Millis
+	tried   clock.Millis
+	heard   clock.Millis
+	relayed clock.Millis
 	// failing says that the last own read failed.
 	failing bool
 	// rank is how many routers are before this one.
@@ -57,10 +58,17 @@
 func (s *Share) Age(now clock.Millis) (clock.Millis, bool) { return now - s.own, s.own > 0 }
 
 // Confirmed records that another router read the same, the given time ago.
-func (s *Share) Confirmed(now, age clock.Millis) { s.others = max(s.others, now-age) }
+func (s *Share) Confirmed(now, age clock.Millis) { s.heard = max(s.heard, now-age) }
+
+// HeardAge returns how long ago another router last read the same, by its own word; false when none has. Only that may
+// be told on: each teller makes the age younger by the time of the way, which must not add up.
+func (s *Share) HeardAge(now clock.Millis) (clock.Millis, bool) { return now - s.heard, s.heard > 0 }
+
+// Relayed records that another router has heard that the same was read, the given time ago.
+func (s *Share) Relayed(now, age clock.Millis) { s.relayed = max(s.relayed, now-age) }
 
 // Newest returns the latest moment for which what is held is known to be the newest; 0 when there is none.
-func (s *Share) Newest() clock.Millis { return max(s.own, s.others) }
+func (s *Share) Newest() clock.Millis { return max(s.own, s.heard, s.relayed) }
 
 // Wait returns how long not to read; 0 when it is time.
 func (s *Share) Wait(now clock.Millis) clock.Millis {
