direct, roster: Go on by an old list only while no router can read

A failed read let a router send by a list of any age, also while others read the list without trouble, as with a store that refuses one router or its calls over the limit. The list may now be older than 1.7 s only when, beside the own failure, no router is known to have read it for 1.5 s. Otherwise a request waits a second for news of the list at most and is refused with a time to come back: other routers serve.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -42,7 +42,12 @@
 func (r *Router) connect(ctx context.Context, c *call, d intake.Decision) (*upstream.Conn, ending) {
 	for {
 		if !r.awaitList(ctx) {
-			return nil, ending{result: intake.Left, err: ctx.Err()}
+			if ctx.Err() != nil {
+				return nil, ending{result: intake.Left, err: ctx.Err()}
+			}
+			d.Refusal = &intake.RefusedError{Reason: "list_old", RetryAfter: rejectRetryAfter}
+			r.refuse(c, d)
+			return nil, ending{result: intake.NotRun, final: true}
 		}
 		conn, err := r.pool.Get(ctx, d.Server.Address)
 		if err != nil {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -71,10 +71,10 @@
 	// end of an outage is known.
 	listTimeout = 700 * time.Millisecond
 	listRetry   = 250 * clock.Millis(1)
-	// maxSendAge is the age of the list from which on nothing is sent before it is read again, unless a read has failed
-	// not longer than failureLife ago. It leaves 0.3 of the two seconds to the send; failureLife lasts over two reads.
+	// maxSendAge is the age of the list from which on nothing is sent before it is read again, unless the store is away
+	// from all routers. It leaves 0.3 of the two seconds to the send. maxListWait bounds the wait of a request for that.
 	maxSendAge  = 1700 * clock.Millis(1)
-	failureLife = 1600 * clock.Millis(1)
+	maxListWait = 1 * time.Second
 	// maxConfigurationAge is the same for the configuration, which must be in force within two seconds.
 	maxConfigurationAge = 1500 * clock.Millis(1)
 	// readStagger keeps routers from beginning to read at the same time.
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -85,17 +85,22 @@
 	r.listNews = make(chan struct{})
 }
 
-// listYoung reports whether the list may be sent by: it is young, or the platform's list cannot be read.
+// listYoung reports whether the list may be sent by: it is young, or no router can read a newer one.
 func (r *Router) listYoung() bool {
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age := r.listAge(now)
-	return age != gossip.Unread && age <= maxSendAge || r.roster.FailedSince(now-failureLife)
+	return age != gossip.Unread && age <= maxSendAge || r.roster.Away(now)
 }
 
-// awaitList waits until the list may be sent by. It reports false when ctx has ended before.
+// awaitList waits until the list may be sent by. It reports false when ctx has ended or the wait became too long.
 func (r *Router) awaitList(ctx context.Context) bool {
+	if r.listYoung() {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxListWait)
+	defer cancel()
 	for {
 		r.mu.Lock()
 		news := r.listNews
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -19,6 +19,8 @@
 	// register again within two seconds of the store's return (the platform's page on service discovery), which may come
 	// 0.8 seconds after that read. Three seconds after its return the platform's bounds hold again.
 	keepTime = 2800 * clock.Millis(1)
+	// failureLife is how long a failed read counts as the last that is known. It lasts over two reads.
+	failureLife = 1600 * clock.Millis(1)
 	// lookTime is how long before entries are given up a last look at the list is due.
 	lookTime = 100 * clock.Millis(1)
 )
@@ -65,9 +67,6 @@
 	}
 }
 
-// FailedSince reports whether an own read has failed at a time or after it.
-func (r *Roster) FailedSince(at clock.Millis) bool { return r.failed >= at }
-
 // Served records that some router read the list at a time, whatever its revision was.
 func (r *Roster) Served(at clock.Millis) {
 	if r.away(at) {
@@ -79,6 +78,9 @@
 // away reports whether the store has been away from all routers until a time.
 func (r *Roster) away(at clock.Millis) bool { return r.failed > r.served && at-r.served >= silence }
 
+// Away reports whether the store is away from all routers, by an own read that has failed lately.
+func (r *Roster) Away(now clock.Millis) bool { return r.away(now) && now-r.failed <= failureLife }
+
 // Take replaces the servers by a list that was the platform's newest at a time, and reports whether anything changed.
 // What was listed before an outage and is missing after it is kept for a while.
 func (r *Roster) Take(now clock.Millis, l laburnumring.ServerList, at clock.Millis) bool {
