--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -24,17 +24,21 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// TestRoutersFindEachOther starts three routers of which two know the first alone: soon each has heard all others, and
-// what they say arrives as it was sent.
-func TestRoutersFindEachOther(t *testing.T) {
+// freeAddress returns an address on loopback whose port is free for datagrams.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
 	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	port := netip.MustParseAddrPort(probe.LocalAddr().String()).Port()
-	if err := probe.Close(); err != nil {
-		t.Fatal(err)
-	}
+	defer func() { _ = probe.Close() }()
+	return netip.MustParseAddrPort(probe.LocalAddr().String())
+}
+
+// TestRoutersFindEachOther starts three routers of which two know the first alone: soon each has heard all others, and
+// what they say arrives as it was sent.
+func TestRoutersFindEachOther(t *testing.T) {
+	port := freeAddress(t).Port()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -96,14 +100,7 @@
 // it was sent, as by a process without processor time: the age must count that.
 func TestHeldUpMessage(t *testing.T) {
 	const held = 3000
-	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	own := netip.MustParseAddrPort(probe.LocalAddr().String())
-	if err := probe.Close(); err != nil {
-		t.Fatal(err)
-	}
+	own := freeAddress(t)
 	ages := make(chan clock.Millis, 2)
 	x := gossip.New(gossip.Options{
 		Address: own, Incarnation: "own", Clock: wallclock.New(), Logger: event.NewLogger(io.Discard, "logfmt", "test"),
@@ -155,14 +152,7 @@
 		watch   = 3 * time.Second
 		bound   = 1 * clock.Second
 	)
-	probe, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	port := netip.MustParseAddrPort(probe.LocalAddr().String()).Port()
-	if err := probe.Close(); err != nil {
-		t.Fatal(err)
-	}
+	port := freeAddress(t).Port()
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	defer wg.Wait()
