direct, intake, account, logqueue, margin: Show each team's tokens by the second

The logs could not tell the hypotheses of the unequal share apart: no line names a request's tokens, lines of refusals are dropped at a flooded router, and resets by the kernel left no trace.

- Event 5009, once a second for each team that asked for streams: tokens asked, returned, sent, undone, begun and refused by cause, and the figures of the last decision.
Event 1011, once a second: requests, time busy and time in which the kernel reset connections.
Both go through a part of the log queue that the flood of other lines cannot displace; writes are at most 8 KiB, as collectors cut long ones.
- laburnumring_direct_team_tokens_total has the same as counters.
- 'laburnumring shares LOG...' adds the lines of all routers up and prints each team's worst six seconds: begun against owed.
- The field 'level' of sends and refusals is 'share', as 'level' is the severity.

--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -44,7 +44,7 @@
 	for _, register := range []func(*kingpin.Application, *environment) (string, func(context.Context) error){
 		registerRouter, registerPlatformRouter, registerAgent, registerConfigCheck, registerConfigPublish, registerConfigShow,
 		registerKeysAuthority, registerKeysIssue, registerKeysToken, registerStatus, registerVersion,
-		registerOrderLease, registerOrderSend, registerExplain,
+		registerOrderLease, registerOrderSend, registerExplain, registerShares,
 	} {
 		name, f := register(app, env)
 		run[name] = f
--- a/internal/commands/explain.go
+++ b/internal/commands/explain.go
@@ -16,13 +16,9 @@
 	id := cmd.Arg("id", "The request's id.").Required().String()
 	files := cmd.Arg("file", "Logs of the processes that may have held it, in logfmt.").Required().Strings()
 	return cmd.FullCommand(), func(context.Context) error {
-		var lines []explain.Line
-		for _, name := range *files {
-			more, err := readLog(name)
-			if err != nil {
-				return err
-			}
-			lines = append(lines, more...)
+		lines, err := readLogs(*files)
+		if err != nil {
+			return err
 		}
 		story := explain.Story(lines, *id)
 		if len(story) == 0 {
@@ -32,6 +28,18 @@
 	}
 }
 
+func readLogs(names []string) ([]explain.Line, error) {
+	var lines []explain.Line
+	for _, name := range names {
+		more, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
 func readLog(name string) ([]explain.Line, error) {
 	f, err := os.Open(name)
 	if err != nil {
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -81,13 +81,14 @@
 		lines := logqueue.New(env.stdout, logqueue.Options{})
 		defer lines.Close()
 		logger := event.NewLogger(lines, "logfmt", "router")
+		summaries := event.NewLogger(lines.Reserved(), "logfmt", "router")
 		lines.SetDropped(func(n int64) { logger.Log(event.LinesDropped, "lines", n) })
 		var background sync.WaitGroup
 		defer background.Wait()
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		background.Go(func() { reloadOnHangup(ctx, hangup, logger, *file) })
-		r := newDirect(s, logger)
+		r := newDirect(s, logger, summaries)
 		background.Go(func() {
 			gcpace.Run(ctx, gcpace.Options{Calm: calmGarbage, Busy: busyGarbage, BusyRate: busyRate, Count: r.Requests})
 		})
@@ -95,7 +96,7 @@
 	}
 }
 
-func newDirect(s platform.Settings, logger *event.Logger) *direct.Router {
+func newDirect(s platform.Settings, logger, summaries *event.Logger) *direct.Router {
 	store := platform.NewStore(s.Store.String())
 	var seeds []netip.Addr
 	for _, a := range s.Seeds {
@@ -112,7 +113,7 @@
 		Retry: retrycap.Options{
 			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst,
 		},
-		Grace: s.Grace, Capacity: s.Capacity, Logger: logger, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
+		Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
 	})
 }
 
@@ -147,7 +148,7 @@
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
 			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Reopen: reopen,
-			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing,
+			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing, Refused: r.Refused,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
 		httpserve.Listener{
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -45,8 +45,7 @@
 			if ctx.Err() != nil {
 				return nil, ending{result: intake.Left, err: ctx.Err()}
 			}
-			d.Refusal = &intake.RefusedError{Reason: "list_old", RetryAfter: rejectRetryAfter}
-			r.refuse(c, d)
+			r.withdraw(c, d, &intake.RefusedError{Reason: "list_old", RetryAfter: rejectRetryAfter})
 			return nil, ending{result: intake.NotRun, final: true}
 		}
 		conn, err := r.pool.Get(ctx, d.Server.Address)
@@ -115,6 +114,15 @@
 	return r.passWhole(ctx, c, d, conn, resp)
 }
 
+// withdraw refuses a request for which a server had been chosen.
+func (r *Router) withdraw(c *call, d intake.Decision, refusal *intake.RefusedError) {
+	r.mu.Lock()
+	r.intake.BookRefusal(c.request(), refusal.Reason)
+	r.mu.Unlock()
+	d.Refusal = refusal
+	r.refuse(c, d)
+}
+
 // overtaken reports whether a decision no longer holds as there was no processor time to carry it out.
 func (r *Router) overtaken(now clock.Millis, c *call, d intake.Decision) (ending, bool) {
 	r.mu.Lock()
@@ -124,8 +132,7 @@
 		return ending{result: intake.NotRun, err: fmt.Errorf("backend server %s left meanwhile", d.Server.ID)}, true
 	}
 	if r.busy.Load() && c.sends == 0 && c.route.Stream() && now-c.arrived > busyWait {
-		d.Refusal = intake.Elsewhere()
-		r.refuse(c, d)
+		r.withdraw(c, d, intake.Elsewhere())
 		return ending{result: intake.NotRun, final: true}, true
 	}
 	return ending{}, false
@@ -141,7 +148,7 @@
 	r.o.Logger.Log(event.RequestPlaced, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
 		"queued", d.Basis.Queued, "fresh", d.Basis.Fresh, "running", d.Basis.Running, "served", d.Basis.Served,
-		"level", d.Basis.Level, "peer_age_ms", int64(d.Basis.PeerAge), "send", c.sends+1,
+		"share", d.Basis.Level, "peer_age_ms", int64(d.Basis.PeerAge), "send", c.sends+1,
 		"configuration", r.version(), "list", revision, "list_age_ms", int64(age), "list_source", source, "kept", kept)
 }
 
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -234,6 +234,11 @@
 // reject answers a request that is not taken.
 func (r *Router) reject(c *call, status int, reason string) bool {
 	r.metrics.refused.WithLabelValues("", reason).Inc()
+	if c.team != "" && c.head.PromptTokens > 0 {
+		r.mu.Lock()
+		r.intake.BookRejection(c.request())
+		r.mu.Unlock()
+	}
 	r.o.Logger.Log(event.RequestTurnedAway, "id", c.head.ID, "team", c.team, "host", c.req.Host, "reason", reason,
 		"status", status, "configuration", r.version())
 	after := clock.Millis(0)
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -54,6 +54,8 @@
 	Grace time.Duration
 	// Logger takes events.
 	Logger *event.Logger
+	// Summaries takes the lines that sum up each second; Logger when nil.
+	Summaries *event.Logger
 	// Collectors are added to the router's metrics.
 	Collectors []prometheus.Collector
 }
@@ -111,7 +113,9 @@
 	// full says that it has none for new connections either, refusing when these were last reset.
 	full     atomic.Bool
 	refusing atomic.Int64
-	count    atomic.Int64
+	// refused counts the nanoseconds in which new connections were reset.
+	refused atomic.Int64
+	count   atomic.Int64
 	// background owns the checks of servers.
 	background sync.WaitGroup
 
@@ -124,6 +128,9 @@
 	rotation *rotation.Controller
 	// overloaded says that the process gets too little processor time for its connections.
 	overloaded bool
+	// late is how late timers are on average, and busyTime how long streams were sent elsewhere since the start.
+	late     clock.Millis
+	busyTime time.Duration
 	// told is the last older suspect that peers were told of.
 	told    uint64
 	retries map[string]*retrycap.Cap
@@ -155,6 +162,9 @@
 
 // New returns a router that does nothing until Run.
 func New(o Options) *Router {
+	if o.Summaries == nil {
+		o.Summaries = o.Logger
+	}
 	r := &Router{
 		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
 		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
@@ -183,7 +193,7 @@
 	loops, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.followConfiguration, r.followServers, r.poll, r.prune} {
+	for _, loop := range []func(context.Context){r.followConfiguration, r.followServers, r.poll, r.summarise, r.prune} {
 		wg.Go(func() { loop(loops) })
 	}
 	failed := make(chan error, 2)
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/laburnumring/laburnumring/internal/account"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -16,6 +17,8 @@
 	refused  *prometheus.CounterVec
 	first    *prometheus.HistogramVec
 	sends    *prometheus.CounterVec
+	// tokens counts what teams asked of engines and got, by what became of it.
+	tokens   *prometheus.CounterVec
 	waiting  prometheus.Gauge
 	inbound  prometheus.Gauge
 	suspects prometheus.Gauge
@@ -42,6 +45,10 @@
 		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnumring_direct_sends_total", Help: "Requests sent to backend servers, by service and order.",
 		}, []string{"service", "order"}),
+		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnumring_direct_team_tokens_total",
+			Help: "Tokens of requests to engines, by team and what became of them.",
+		}, []string{"team", "what"}),
 		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_waiting", Help: "Requests that wait for a backend server.",
 		}),
@@ -61,7 +68,7 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.waiting, m.inbound, m.suspects, m.listAge, m.kept)
+	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.tokens, m.waiting, m.inbound, m.suspects, m.listAge, m.kept)
 	return m
 }
 
@@ -75,6 +82,17 @@
 	m.first.WithLabelValues(service, team).Observe(took.Duration().Seconds())
 }
 
+// booked counts what a team got in a span of time.
+func (m *metrics) booked(team string, e *account.Entry) {
+	for what, n := range map[string]int64{
+		"asked": e.Asked, "returned": e.Returned, "sent": e.Sent, "undone": e.Undone, "begun": e.Begun,
+		"refused_over_share": e.Refused[account.Share], "refused_router_busy": e.Refused[account.Processor],
+		"refused_engines_full": e.Refused[account.Engines], "refused_other": e.Refused[account.Other],
+	} {
+		m.tokens.WithLabelValues(team, what).Add(float64(n))
+	}
+}
+
 // Metrics returns the handler of the metrics interface.
 func (r *Router) Metrics() http.Handler {
 	return promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/direct/overload.go
+++ b/internal/direct/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/laburnumring/laburnumring/internal/cpulag"
 	"github.com/laburnumring/laburnumring/internal/event"
@@ -47,8 +48,9 @@
 	full *cpulag.Meter
 	// shed is the part of the time in which streams or connections are refused.
 	shed *hysteresis.Meter
-	// last is when the timer last fired; 0 before.
+	// last is when the timer last fired, 0 before, and span how long after the time before.
 	last clock.Millis
+	span clock.Millis
 }
 
 func newMeters() *meters {
@@ -70,14 +72,20 @@
 	if refusing || m.busy.Overloaded() {
 		refused = 1
 	}
-	shed := m.shed.Observe(refused, min(now-m.last, refusingTime))
+	if m.last > 0 {
+		m.span = now - m.last
+	}
 	m.last = now
+	shed := m.shed.Observe(refused, min(m.span, refusingTime))
 	return late || shed
 }
 
 // Refusing records that new connections are reset now.
 func (r *Router) Refusing() { r.refusing.Store(int64(r.o.Clock.Now())) }
 
+// Refused records for how long new connections were reset.
+func (r *Router) Refused(d time.Duration) { r.refused.Add(int64(d)) }
+
 // Full reports whether the process has no processor time for new connections, and other routers may.
 func (r *Router) Full() bool { return r.full.Load() }
 
@@ -94,6 +102,10 @@
 		if r.overloaded {
 			r.rotation.Overloaded(now)
 		}
+		r.late = m.busy.Late()
+		if r.busy.Load() {
+			r.busyTime += m.span.Duration()
+		}
 		r.busy.Store(m.busy.Overloaded())
 		r.full.Store(others && m.full.Overloaded())
 		r.intake.SetBusy(others && m.busy.Overloaded())
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -28,6 +28,7 @@
 	SettingsReloaded    = Event{1007, log.InfoLevel, "settings read again"}
 	OverloadChanged     = Event{1009, log.WarnLevel, "processor overload changed"}
 	ListenerNotOpened   = Event{1010, log.WarnLevel, "listener not opened again"}
+	RouterLoad          = Event{1011, log.InfoLevel, "router's load"}
 	LinesDropped        = Event{1008, log.WarnLevel, "log lines dropped"}
 	AgentReady          = Event{3001, log.InfoLevel, "agent ready"}
 	AgentSilent         = Event{3002, log.WarnLevel, "agent silent"}
@@ -43,6 +44,7 @@
 	RequestPlaced       = Event{5005, log.InfoLevel, "request sent to backend server"}
 	RequestTurnedAway   = Event{5006, log.InfoLevel, "request refused"}
 	RequestEnded        = Event{5007, log.InfoLevel, "request ended"}
+	TeamShare           = Event{5009, log.InfoLevel, "team's tokens"}
 	AttemptFailed       = Event{5008, log.InfoLevel, "backend server failed a request"}
 	ServerMisplaced     = Event{4006, log.WarnLevel, "another backend server has the address"}
 	ServerUnreachable   = Event{4007, log.WarnLevel, "backend server unreachable"}
@@ -72,8 +74,8 @@
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotLeveled,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerAsked,
-		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened,
-		RequestPlaced, RequestTurnedAway, RequestEnded, AttemptFailed, ServerMisplaced, ServerUnreachable,
+		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, RouterLoad,
+		RequestPlaced, RequestTurnedAway, RequestEnded, AttemptFailed, TeamShare, ServerMisplaced, ServerUnreachable,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerDied, RouterGone,
 		RequestNotWhole, AnswerBroken, AttemptRetried,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -77,6 +77,19 @@
 	return l, d.Err() == nil && !l.Time.IsZero()
 }
 
+// Fields returns the line's fields.
+func (l Line) Fields() map[string]string {
+	out := make(map[string]string)
+	d := logfmt.NewDecoder(strings.NewReader(l.Text))
+	if !d.ScanRecord() {
+		return out
+	}
+	for d.ScanKeyval() {
+		out[string(d.Key())] = string(d.Value())
+	}
+	return out
+}
+
 // Story returns the lines of the request with the given id, and those that concern no request but its servers or the
 // processes that held it, from shortly before to shortly after it, in the order of time.
 func Story(lines []Line, id string) []Line {
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -17,6 +17,7 @@
 	open     func() (net.Listener, error)
 	full     func() bool
 	refusing func()
+	refused  func(time.Duration)
 	// rate bounds the new connections; nil without a bound.
 	rate *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
@@ -47,7 +48,7 @@
 )
 
 func newGate(ln net.Listener, l Listener) *gate {
-	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, closed: make(chan struct{}), opened: time.Now()}
+	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, refused: l.Refused, closed: make(chan struct{}), opened: time.Now()}
 	if l.ConnsPerSecond > 0 {
 		g.rate = rate.NewLimiter(rate.Limit(l.ConnsPerSecond), max(1, int(burstTime.Seconds()*l.ConnsPerSecond)))
 	}
@@ -97,7 +98,11 @@
 	if g.refusing != nil {
 		g.refusing()
 	}
-	for end := time.Now().Add(maxShut); time.Now().Before(end) && (g.crowded() || g.roomless()); {
+	began := time.Now()
+	if g.refused != nil {
+		defer func() { g.refused(time.Since(began)) }()
+	}
+	for end := began.Add(maxShut); time.Now().Before(end) && (g.crowded() || g.roomless()); {
 		time.Sleep(shutPause)
 	}
 	for {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -47,6 +47,8 @@
 	Reopen func() (net.Listener, error)
 	// Refusing is told each time that new connections begin to be reset; it may be nil.
 	Refusing func()
+	// Refused is told afterwards for how long; it may be nil.
+	Refused func(time.Duration)
 	// CloseTimeout is how long open requests are waited for when the work has ended; two seconds when zero.
 	CloseTimeout time.Duration
 	// Refusals takes connections and requests that are refused; it may be nil.
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -67,7 +67,7 @@
 	}
 	pool := c.pools[r.Service]
 	if len(pool) == 0 {
-		return refuse(r, "no_server", clock.Second), true
+		return refuse(r, reasonNoServer, clock.Second), true
 	}
 	svc, _ := c.table.Service(r.Service)
 	if !svc.Engine {
@@ -138,6 +138,7 @@
 	if !math.IsInf(level, 1) {
 		best.basis.Level = int64(level)
 	}
+	c.bookBasis(r.Team, v, best.basis)
 	if best.s != nil && r.Goal > 0 {
 		if begin, ok := queueing(float64(best.basis.Expected), float64(best.alone), float64(r.Goal)); ok {
 			c.supply(r.Service).observe(now, begin, best.end(r, svc)/float64(r.Limit-r.Arrived),
@@ -159,17 +160,17 @@
 		return c.send(now, r, best, v), true
 	}
 	if excess && !r.Begun {
-		return withBasis(refuse(r, "over_share", c.shareWait(v, r, level)), best.basis), true
+		return withBasis(refuse(r, reasonShare, c.shareWait(v, r, level)), best.basis), true
 	}
 	if !reachable {
-		return refuse(r, "no_server", clock.Second), true
+		return refuse(r, reasonNoServer, clock.Second), true
 	}
 	if c.elsewhere(r) {
 		return Decision{Request: r.ID, Refusal: Elsewhere(), Basis: best.basis}, true
 	}
 	wait := c.queueWait(r, len(pool))
 	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
-		return withBasis(refuse(r, "engines_full", clock.Millis(wait)+r.Goal), best.basis), true
+		return withBasis(refuse(r, reasonEngines, clock.Millis(wait)+r.Goal), best.basis), true
 	}
 	return Decision{}, false
 }
@@ -182,6 +183,9 @@
 func Elsewhere() *RefusedError { return &RefusedError{Reason: reasonBusy, RetryAfter: busyRetryAfter} }
 
 const (
+	reasonShare    = "over_share"
+	reasonEngines  = "engines_full"
+	reasonNoServer = "no_server"
 	// reasonBusy is the reason of refusals that only this router has.
 	reasonBusy = "router_busy"
 	// busyRetryAfter sends callers to another router at once.
@@ -301,6 +305,7 @@
 		ch.s.keep(now, r)
 		if !r.Begun {
 			c.ledger.Serve(now, r.Team, r.tokens())
+			c.book.Team(r.Team).Sent += r.tokens()
 		}
 		v.teams[r.Team] = c.ledger.Total(now, r.Team)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/account"
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/forecast"
 	"github.com/laburnumring/laburnumring/internal/routing"
@@ -35,6 +36,8 @@
 type Controller struct {
 	o      Options
 	ledger *fairshare.Ledger
+	// book holds what teams got of engines since it was last taken.
+	book *account.Book
 	// table is the configuration in force; nil before the first.
 	table *routing.Table
 	// servers holds the servers that may get work and those that still have some, by id; pools those that may get
@@ -59,7 +62,7 @@
 // New returns a controller without servers.
 func New(o Options) *Controller {
 	return &Controller{
-		o: o, ledger: fairshare.New(fairshare.Options{}),
+		o: o, ledger: fairshare.New(fairshare.Options{}), book: account.New(),
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), runs: make(map[int64]*run),
 		supplies: make(map[string]*supply), returns: returns{refused: make(map[uint64]clock.Millis)},
@@ -111,7 +114,12 @@
 	if at, ok := c.returns.first(now, r.Fingerprint); ok {
 		r.asked = min(at, r.Arrived-1)
 	}
-	if c.engine(r.Service) && !r.returned() {
+	switch {
+	case !c.engine(r.Service):
+	case r.returned():
+		c.book.Team(r.Team).Returned += r.tokens()
+	default:
+		c.book.Team(r.Team).Asked += r.tokens()
 		c.ledger.Ask(now, r.Team, r.tokens())
 	}
 	return c.consider(now, r)
@@ -134,8 +142,11 @@
 }
 
 func (c *Controller) noteRefusal(now clock.Millis, r Request, d Decision) {
+	if d.Refusal == nil || !c.engine(r.Service) {
+		return
+	}
+	c.BookRefusal(r, d.Refusal.Reason)
 	switch {
-	case d.Refusal == nil || !c.engine(r.Service):
 	case d.Refusal.Reason != reasonBusy:
 		c.returns.note(now, r.Fingerprint)
 	case !r.returned():
@@ -191,6 +202,7 @@
 	s.load.Queued -= v.load.Queued
 	s.succeeded()
 	if c.engine(v.r.Service) {
+		c.bookBegin(now, v.r)
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
 		if part, ok := queueing(float64(now-v.sent), float64(v.alone), float64(v.r.Goal)); ok {
 			c.supply(v.r.Service).began(part)
@@ -261,6 +273,7 @@
 	}
 	if !v.started && !v.r.Begun && res != Whole && c.engine(v.r.Service) {
 		c.ledger.Serve(now, v.r.Team, -v.r.tokens())
+		c.book.Team(v.r.Team).Undone += v.r.tokens()
 	}
 }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,6 +25,7 @@
 //	busy, free                the router has too little processor time, or enough again
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N] [supply=F]
 //	supply                    prints what peers are told of the engines' throughput
+//	book                      prints what teams asked for and got since it was last printed
 //
 // Submit prints the decision, or that the request waits; with times, how many of so many requests were sent to each
 // server or refused for which reason.
@@ -88,6 +91,13 @@
 			return fmt.Sprintf("llm %.2f", f)
 		}
 		return "nothing"
+	case "book":
+		var out strings.Builder
+		teams := p.c.TakeBook()
+		for _, name := range slices.Sorted(maps.Keys(teams)) {
+			fmt.Fprintf(&out, "%s %+v\n", name, *teams[name])
+		}
+		return out.String()
 	case "busy", "free":
 		p.c.SetBusy(d.Cmd == "busy")
 	case "unreachable":
--- a/internal/logqueue/logqueue.go
+++ b/internal/logqueue/logqueue.go
@@ -17,6 +17,8 @@
 	Burst          int
 	// MaxBytes bounds what waits to be written; 256 KiB when zero.
 	MaxBytes int
+	// MaxReserved bounds what of the reserved lines waits to be written; 128 KiB when zero.
+	MaxReserved int
 	// Interval is the time between two batches; 50 milliseconds when zero.
 	Interval time.Duration
 	// Dropped is told how many lines were dropped since it was last told.
@@ -28,7 +30,10 @@
 	defaultLinesPerSecond = 600
 	defaultBurst          = 2000
 	defaultMaxBytes       = 256 << 10
+	defaultMaxReserved    = 128 << 10
 	defaultInterval       = 50 * time.Millisecond
+	// maxWrite bounds one write where lines are shorter, as collectors cut off long ones.
+	maxWrite = 8 << 10
 	// reportInterval is the least time between two reports of dropped lines.
 	reportInterval = 1 * time.Second
 )
@@ -45,6 +50,8 @@
 	mu sync.Mutex
 	// waiting holds the lines that were not written yet, at most o.MaxBytes.
 	waiting bytes.Buffer
+	// reserved holds the reserved lines that were not written yet, at most o.MaxReserved.
+	reserved bytes.Buffer
 	// dropped counts the lines that were dropped and not told of, reported when they were last told.
 	dropped  int64
 	reported time.Time
@@ -61,6 +68,9 @@
 	if o.MaxBytes == 0 {
 		o.MaxBytes = defaultMaxBytes
 	}
+	if o.MaxReserved == 0 {
+		o.MaxReserved = defaultMaxReserved
+	}
 	if o.Interval == 0 {
 		o.Interval = defaultInterval
 	}
@@ -83,6 +93,27 @@
 	return q.waiting.Write(line)
 }
 
+// Reserved returns a writer for few lines that must not be lost among many others: their rate is not bounded, and they
+// are written first.
+func (q *Queue) Reserved() io.Writer { return reserved{q: q} }
+
+// reserved is the queue's writer of reserved lines.
+type reserved struct {
+	q *Queue
+}
+
+// Write takes one line, or drops it when too many wait. It never fails.
+func (r reserved) Write(line []byte) (int, error) {
+	q := r.q
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.reserved.Len()+len(line) > q.o.MaxReserved {
+		q.dropped++
+		return len(line), nil
+	}
+	return q.reserved.Write(line)
+}
+
 // SetDropped sets what is told of dropped lines, for a logger that itself writes to the queue.
 func (q *Queue) SetDropped(f func(lines int64)) {
 	q.mu.Lock()
@@ -110,10 +141,7 @@
 		}
 		q.report()
 		batch = q.take(batch)
-		if len(batch) > 0 {
-			// A line that cannot be written has nowhere else to go.
-			_, _ = q.w.Write(batch)
-		}
+		q.write(batch)
 		if stopping {
 			return
 		}
@@ -124,11 +152,28 @@
 func (q *Queue) take(batch []byte) []byte {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	batch = append(batch[:0], q.waiting.Bytes()...)
+	batch = append(append(batch[:0], q.reserved.Bytes()...), q.waiting.Bytes()...)
+	q.reserved.Reset()
 	q.waiting.Reset()
 	return batch
 }
 
+// write writes whole lines, several at a time.
+func (q *Queue) write(batch []byte) {
+	for len(batch) > 0 {
+		n := len(batch)
+		if n > maxWrite {
+			n = 1 + bytes.LastIndexByte(batch[:maxWrite], '\n')
+			if n == 0 {
+				n = 1 + bytes.IndexByte(batch, '\n')
+			}
+		}
+		// A line that cannot be written has nowhere else to go.
+		_, _ = q.w.Write(batch[:n])
+		batch = batch[n:]
+	}
+}
+
 // report tells how many lines were dropped.
 func (q *Queue) report() {
 	q.mu.Lock()
--- /dev/null
+++ b/internal/margin/margin.go
@@ -0,0 +1,149 @@
+// Package margin tells from the routers' logs how near each team came to getting less than half of what it was owed.
+package margin
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/laburnumring/laburnumring/internal/explain"
+)
+
+// teamTokens is the number of the event with a team's tokens in a second.
+const teamTokens = "5009"
+
+// Window is the time over which shares are compared.
+const Window = 6
+
+// Span is one team's share over some seconds.
+type Span struct {
+	Team string `json:"team"`
+	// From is the first second.
+	From time.Time `json:"from"`
+	// Asked and Begun are the team's tokens, Best the sum of what the best team of each second began, and Owed the sum of
+	// the less of Best and Asked, second by second.
+	Asked int64 `json:"asked"`
+	Begun int64 `json:"begun"`
+	Best  int64 `json:"best"`
+	Owed  int64 `json:"owed"`
+	// Margin is Begun by Owed; under a half is unfair.
+	Margin float64 `json:"margin"`
+	// Seconds is in how many of the seconds a request of the team was refused or late.
+	Seconds int `json:"unserved_seconds"`
+	// OverShare, RouterBusy, EnginesFull and Other are refused tokens by cause.
+	OverShare   int64 `json:"over_share"`
+	RouterBusy  int64 `json:"router_busy"`
+	EnginesFull int64 `json:"engines_full"`
+	Other       int64 `json:"other"`
+}
+
+// second is one team's tokens in one second.
+type second struct {
+	asked, begun, share, busy, full, other int64
+	unserved                               bool
+}
+
+// Ledger holds what teams asked for and got in each second, over all routers.
+type Ledger struct {
+	teams map[string]map[int64]second
+	best  map[int64]int64
+}
+
+// New returns a ledger of the lines that name teams' tokens.
+func New(lines []explain.Line) *Ledger {
+	l := &Ledger{teams: make(map[string]map[int64]second), best: make(map[int64]int64)}
+	for _, line := range lines {
+		if !strings.Contains(line.Text, "event="+teamTokens+" ") {
+			continue
+		}
+		f := line.Fields()
+		// A line is written at the end of its second.
+		l.add(f["team"], line.Time.Unix()-1, second{
+			asked: number(f["asked"]), begun: number(f["begun"]), share: number(f["over_share"]),
+			busy: number(f["router_busy"]), full: number(f["engines_full"]), other: number(f["other"]),
+			unserved: number(f["unserved"]) > 0,
+		})
+	}
+	return l
+}
+
+// number reads a field; one that is missing counts as 0, as in lines of other versions.
+func number(s string) int64 {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (l *Ledger) add(team string, at int64, s second) {
+	seconds, ok := l.teams[team]
+	if !ok {
+		seconds = make(map[int64]second)
+		l.teams[team] = seconds
+	}
+	sum := seconds[at].plus(s)
+	seconds[at] = sum
+	l.best[at] = max(l.best[at], sum.begun)
+}
+
+func (s second) plus(o second) second {
+	return second{
+		asked: s.asked + o.asked, begun: s.begun + o.begun, share: s.share + o.share, busy: s.busy + o.busy,
+		full: s.full + o.full, other: s.other + o.other, unserved: s.unserved || o.unserved,
+	}
+}
+
+// Worst returns each team's span with the least margin among those in all of whose seconds a request was refused or
+// late, the least first.
+func (l *Ledger) Worst() []Span {
+	var out []Span
+	for _, team := range slices.Sorted(maps.Keys(l.teams)) {
+		worst := Span{Margin: math.Inf(1)}
+		for from := range l.teams[team] {
+			s := l.Span(team, from)
+			if s.Seconds == Window && s.Owed > 0 && (s.Margin < worst.Margin || s.Margin == worst.Margin && s.From.Before(worst.From)) {
+				worst = s
+			}
+		}
+		if worst.Team != "" {
+			out = append(out, worst)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Span) int {
+		switch {
+		case a.Margin < b.Margin:
+			return -1
+		case a.Margin > b.Margin:
+			return 1
+		}
+		return 0
+	})
+	return out
+}
+
+// Span returns a team's share in the window that begins at a Unix second.
+func (l *Ledger) Span(team string, from int64) Span {
+	out := Span{Team: team, From: time.Unix(from, 0).UTC()}
+	for at := from; at < from+Window; at++ {
+		s := l.teams[team][at]
+		out.Asked += s.asked
+		out.Begun += s.begun
+		out.Best += l.best[at]
+		out.Owed += min(s.asked, l.best[at])
+		out.OverShare += s.share
+		out.RouterBusy += s.busy
+		out.EnginesFull += s.full
+		out.Other += s.other
+		if s.unserved {
+			out.Seconds++
+		}
+	}
+	if out.Owed > 0 {
+		out.Margin = float64(out.Begun) / float64(out.Owed)
+	}
+	return out
+}
