experiment, overload: Reproduce a team behind a router without processor time

Callers of a team that floods see nothing for as long as the flood lasts: their requests come to one router, which has too little processor time and refuses every stream as router_busy, or resets connections. The model's routers get a processor that requests and streams take turns at, callers come back once to the same router, and a balancer may keep a burst's callers together.

--- a/internal/commands/shares.go
+++ b/internal/commands/shares.go
@@ -18,7 +18,9 @@
 		if err != nil {
 			return err
 		}
-		spans := margin.New(lines).Worst()
+		l := margin.New()
+		l.Read(lines)
+		spans := l.Worst()
 		if len(spans) == 0 {
 			return errors.New("no team was refused in six seconds in a row")
 		}
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -62,8 +62,8 @@
 
 // Intervals of the router's loops.
 const (
-	// pollInterval is the time between looks at waiting requests; starts and ends of others make more of them.
-	pollInterval = 10 * time.Millisecond
+	// stopLook is the time between looks whether the last request has ended.
+	stopLook = 10 * time.Millisecond
 	// listInterval is the time between reads of the list of backend servers, and maxListAge the age of what other
 	// routers have read from which on a router reads itself. With the time of a read they stay well under the two
 	// seconds in which a leaving server must get no more work.
@@ -235,7 +235,7 @@
 			r.o.Logger.Log(event.StopLimit, "in_progress", r.inbound.Load())
 			break
 		}
-		time.Sleep(pollInterval)
+		time.Sleep(stopLook)
 	}
 	r.o.Logger.Log(event.Stopped)
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -9,6 +9,8 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/enginemodel"
 	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/margin"
+	"github.com/laburnumring/laburnumring/internal/overload"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -27,6 +29,10 @@
 	// goal; WorstTeam is the least such part of a team.
 	Owed      float64 `json:"owed"`
 	WorstTeam float64 `json:"worst_team"`
+	// Margin is the least part that a team began of what it was owed beside the best team in six seconds throughout which
+	// some of its requests were refused or late; 1 when there are none. MarginTeam is that team.
+	Margin     float64 `json:"margin"`
+	MarginTeam string  `json:"margin_team"`
 	// Read, Again and Kept are prompt tokens: read, read though an engine had read them, and found kept.
 	Read  int64 `json:"tokens_read"`
 	Again int64 `json:"tokens_read_again"`
@@ -39,13 +45,16 @@
 	Engine  enginemodel.Options
 	// TokensPerSecond is the configured throughput.
 	TokensPerSecond float64
+	// Processors is the routers' processor time in parts of a core; those beyond its length have enough.
+	Processors []float64
+	// Exchange is the time between two messages of a router; 100 ms when zero.
+	Exchange clock.Millis
 }
 
 // Intervals of the played routers: those of the real ones.
 const (
 	exchangeInterval = 100 * clock.Millis(1)
 	exchangeDelay    = 1 * clock.Millis(1)
-	pollInterval     = 10 * clock.Millis(1)
 )
 
 // event is something that happens at a moment.
@@ -91,6 +100,9 @@
 	doneAt  clock.Millis
 	refused bool
 	engine  int
+	// came is when the caller last sent the request, and returned says that this was not the first time.
+	came     clock.Millis
+	returned bool
 }
 
 // world is one run.
@@ -106,12 +118,14 @@
 	stepping []bool
 	flights  map[int64]*flight
 	all      []*flight
+	shares   *margin.Ledger
 }
 
 // Run plays a load with a policy.
 func Run(site Site, load Load, name string) (Result, error) {
 	w := &world{
 		site: site, load: load, stepping: make([]bool, site.Engines), flights: make(map[int64]*flight),
+		shares: margin.New(),
 	}
 	seen := make(map[string]bool)
 	for range site.Engines {
@@ -126,12 +140,12 @@
 		f := &flight{arrival: a, id: int64(i + 1)}
 		w.all = append(w.all, f)
 		w.at(a.at, func() {
-			w.flights[f.id] = f
-			w.policy.arrive(f)
+			w.shares.Add(f.team, second(w.now), margin.Second{Asked: int64(f.tokens())})
+			w.arrive(f)
 		})
 	}
 	end := load.Length + 20*clock.Second
-	for at := pollInterval; at < end; at += pollInterval {
+	for at := overload.Interval; at < end; at += overload.Interval {
 		w.at(at, w.policy.poll)
 	}
 	for len(w.queue) > 0 {
@@ -142,6 +156,15 @@
 	return w.result(name), nil
 }
 
+// arrive brings a request to its router.
+func (w *world) arrive(f *flight) {
+	f.came = w.now
+	w.flights[f.id] = f
+	w.policy.arrive(f)
+}
+
+func second(t clock.Millis) int64 { return int64(t / clock.Second) }
+
 func (w *world) at(t clock.Millis, do func()) {
 	w.count++
 	heap.Push(&w.queue, event{at: t, order: w.count, do: do})
@@ -178,6 +201,9 @@
 	f := w.flights[v.ID]
 	if v.First {
 		f.firstAt = w.now + clock.Millis(w.site.Engine.First)
+		w.shares.Add(f.team, second(f.firstAt), margin.Second{
+			Begun: int64(f.tokens()), Unserved: f.firstAt-f.at > f.kind.Goal,
+		})
 		w.policy.started(f)
 	}
 	if v.Done {
@@ -187,9 +213,16 @@
 	}
 }
 
-func (w *world) refuse(f *flight) {
-	f.refused = true
+// refuse tells a caller when to come back.
+func (w *world) refuse(f *flight, after clock.Millis) {
 	delete(w.flights, f.id)
+	w.shares.Add(f.team, second(w.now), margin.Second{Unserved: true})
+	if after = min(after, (f.at+f.kind.Limit-w.now)/3); w.load.Returns && !f.returned && after > 0 {
+		f.returned = true
+		w.at(w.now+after, func() { w.arrive(f) })
+		return
+	}
+	f.refused = true
 }
 
 func (w *world) result(name string) Result {
@@ -213,6 +246,10 @@
 		r.Kept += s.Kept
 	}
 	r.Owed, r.WorstTeam = w.owed()
+	r.Margin = 1
+	if spans := w.shares.Worst(); len(spans) > 0 {
+		r.Margin, r.MarginTeam = spans[0].Margin, spans[0].Team
+	}
 	return r
 }
 
@@ -237,7 +274,7 @@
 	}
 	return intake.Request{
 		ID: f.id, Team: f.team, Service: service, Parts: f.parts, PromptTokens: n, OutputTokens: f.kind.Output,
-		Arrived: f.at, Goal: f.kind.Goal, Limit: f.at + f.kind.Limit, Fingerprint: uint64(f.id),
+		Arrived: f.came, Goal: f.kind.Goal, Limit: f.at + f.kind.Limit, Fingerprint: uint64(f.id),
 	}
 }
 
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -36,6 +36,9 @@
 	From  clock.Millis
 	To    clock.Millis
 	Times float64
+	// Router is the router to which all of them come, as balancers keep callers together; 0 for all routers, else its
+	// number from 1.
+	Router int
 }
 
 // Load is the arrivals of one experiment.
@@ -49,6 +52,8 @@
 	Length clock.Millis
 	// Routers is among how many routers the requests are divided.
 	Routers int
+	// Returns says that refused callers come back once, when they are told to and to the same router.
+	Returns bool
 }
 
 // arrival is one request of a load.
@@ -83,19 +88,22 @@
 func (l Load) teamArrivals(r *rand.Rand, k *Kind, team int, share float64) []arrival {
 	var out []arrival
 	for at := 0.0; ; {
-		times := 1.0
+		times, router := 1.0, 0
 		for _, b := range l.Bursts {
 			if b.Team == team && clock.Millis(at) >= b.From && clock.Millis(at) < b.To {
-				times = b.Times
+				times, router = b.Times, b.Router
 			}
 		}
 		at += r.ExpFloat64() * 1000 / (k.PerSecond * share * times)
 		if clock.Millis(at) >= l.Length {
 			return out
 		}
-		thing := r.IntN(k.Things)
+		thing, drawn := r.IntN(k.Things), r.IntN(l.Routers)
+		if router > 0 {
+			drawn = router - 1
+		}
 		out = append(out, arrival{
-			at: clock.Millis(at), router: r.IntN(l.Routers), team: fmt.Sprintf("team%02d", team), kind: k,
+			at: clock.Millis(at), router: drawn, team: fmt.Sprintf("team%02d", team), kind: k,
 			output: max(1, int64(float64(k.Output)*math.Exp(0.6*r.NormFloat64()-0.18))),
 			parts: []laburnumring.PromptPart{
 				{ID: fmt.Sprintf("%s-prefix-%d", k.Name, thing%k.Prefixes), Tokens: k.Prefix},
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/overload"
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -90,11 +92,43 @@
 // intakePolicy is the product's own: a controller a router.
 type intakePolicy struct {
 	w        *world
-	routers  []*intake.Controller
+	routers  []*router
 	engines  map[string]int
 	exchange clock.Millis
 }
 
+// router is one router with its processor.
+type router struct {
+	c     *intake.Controller
+	meter *overload.Meter
+	// processor is the part of a core that the router has, 0 for enough, and free when it is done with what came, in
+	// milliseconds.
+	processor float64
+	free      float64
+	// due is when the timer fires next: it waits for what came before it.
+	due float64
+}
+
+// Processor time in milliseconds.
+const (
+	// requestTime is what a request takes until it is decided, by BenchmarkRefused and what calls of the kernel cost.
+	requestTime = 0.3
+	// streamTime is what passing on a stream takes beside.
+	streamTime = 0.5
+)
+
+// resetReturn is when callers come back whose connection was reset.
+const resetReturn = 20 * clock.Millis(1)
+
+// spend uses processor time and returns when it is done.
+func (r *router) spend(now clock.Millis, took float64) clock.Millis {
+	if r.processor == 0 {
+		return now
+	}
+	r.free = max(float64(now), r.free) + took/r.processor
+	return clock.Millis(math.Ceil(r.free))
+}
+
 func newIntakePolicy(w *world) *intakePolicy {
 	p := &intakePolicy{w: w, engines: make(map[string]int)}
 	for i := range w.engines {
@@ -106,56 +140,78 @@
 			Name: service, Engine: true, Slots: w.site.Engine.Slots, Memory: w.site.Engine.Memory, EventTokens: 1,
 		}},
 	})
-	for range w.load.Routers {
-		c := intake.New(intake.Options{})
-		c.Configure(table)
-		c.SetServers(w.entries())
-		p.routers = append(p.routers, c)
+	for i := range w.load.Routers {
+		r := &router{c: intake.New(intake.Options{}), meter: overload.New()}
+		r.c.Configure(table)
+		r.c.SetServers(w.entries())
+		if i < len(w.site.Processors) {
+			r.processor = w.site.Processors[i]
+		}
+		p.routers = append(p.routers, r)
 	}
 	return p
 }
 
 func (p *intakePolicy) arrive(f *flight) {
-	if d, ok := p.routers[f.router].Submit(p.w.now, f.request()); ok {
-		p.decided(d)
+	r := p.routers[f.router]
+	if r.meter.Full() {
+		p.w.refuse(f, resetReturn)
+		return
 	}
+	p.w.at(r.spend(p.w.now, requestTime), func() {
+		f.came = p.w.now
+		if d, ok := r.c.Submit(p.w.now, f.request()); ok {
+			p.decided(r, d)
+		}
+	})
 }
 
-func (p *intakePolicy) decided(d intake.Decision) {
+func (p *intakePolicy) decided(r *router, d intake.Decision) {
 	f := p.w.flights[d.Request]
 	if d.Refusal != nil {
-		p.w.refuse(f)
+		p.w.refuse(f, d.Refusal.RetryAfter)
 		return
 	}
+	r.spend(p.w.now, streamTime)
 	p.w.send(f, p.engines[d.Server.ID])
 }
 
 func (p *intakePolicy) poll() {
 	for _, r := range p.routers {
-		for _, d := range r.Poll(p.w.now) {
-			p.decided(d)
+		if float64(p.w.now) < r.due {
+			continue
+		}
+		r.due = max(r.free, float64(p.w.now))
+		r.meter.Fired(p.w.now, 0)
+		r.c.SetBusy(r.meter.Busy())
+		for _, d := range r.c.Poll(p.w.now) {
+			p.decided(r, d)
 		}
 	}
-	if p.w.now < p.exchange+exchangeInterval {
+	interval := p.w.site.Exchange
+	if interval == 0 {
+		interval = exchangeInterval
+	}
+	if p.w.now < p.exchange+interval {
 		return
 	}
 	p.exchange = p.w.now
 	for i, from := range p.routers {
-		report := from.Report(p.w.now)
+		report := from.c.Report(p.w.now)
 		for j, to := range p.routers {
 			if i != j {
-				p.w.at(p.w.now+exchangeDelay, func() { to.Merge(p.w.now, engineName(i), report) })
+				p.w.at(p.w.now+exchangeDelay, func() { to.c.Merge(p.w.now, engineName(i), report) })
 			}
 		}
 	}
 }
 
 func (p *intakePolicy) started(f *flight) {
-	p.w.at(f.firstAt, func() { p.routers[f.router].Started(p.w.now, f.id) })
+	p.w.at(f.firstAt, func() { p.routers[f.router].c.Started(p.w.now, f.id) })
 }
 
 func (p *intakePolicy) ended(f *flight) {
-	c := p.routers[f.router]
+	c := p.routers[f.router].c
 	events := int(f.output)
 	c.Progress(f.id, events, max(1, f.doneAt-f.firstAt))
 	p.w.at(max(f.doneAt, f.firstAt), func() { c.Ended(p.w.now, f.id, intake.Whole) })
--- a/internal/experiment/sites.go
+++ b/internal/experiment/sites.go
@@ -39,3 +39,20 @@
 	}
 	return site, load
 }
+
+// Together returns a site of many routers whose balancer keeps callers together: each of four teams floods through one
+// router, three of which are small, while a fifth floods through all.
+func Together(seed uint64) (Site, Load) {
+	site, load := Crowded(seed)
+	site.Engines, site.TokensPerSecond, site.Exchange = 24, 1_000_000, 300
+	load.Routers, load.Returns = 12, true
+	site.Processors = []float64{0.144, 0.144, 0.144, 0.8}
+	load.Bursts = []Burst{
+		{Team: 4, From: 3 * clock.Second, To: 12 * clock.Second, Times: 30, Router: 1},
+		{Team: 6, From: 5 * clock.Second, To: 14 * clock.Second, Times: 50, Router: 2},
+		{Team: 3, From: 8 * clock.Second, To: 16 * clock.Second, Times: 25, Router: 3},
+		{Team: 2, From: 4 * clock.Second, To: 15 * clock.Second, Times: 15, Router: 4},
+		{Team: 1, From: 6 * clock.Second, To: 18 * clock.Second, Times: 10},
+	}
+	return site, load
+}
--- a/internal/margin/margin.go
+++ b/internal/margin/margin.go
@@ -33,41 +33,51 @@
 	Margin float64 `json:"margin"`
 	// Seconds is in how many of the seconds a request of the team was refused or late.
 	Seconds int `json:"unserved_seconds"`
-	// OverShare, RouterBusy, EnginesFull and Other are refused tokens by cause.
+	// OverShare to Other are refused tokens by cause.
 	OverShare   int64 `json:"over_share"`
 	RouterBusy  int64 `json:"router_busy"`
 	EnginesFull int64 `json:"engines_full"`
 	Other       int64 `json:"other"`
 }
 
-// second is one team's tokens in one second.
-type second struct {
-	asked, begun, share, busy, full, other int64
-	unserved                               bool
+// Second is one team's tokens in one second.
+type Second struct {
+	Asked int64
+	Begun int64
+	// OverShare, RouterBusy, EnginesFull and Other are refused tokens by cause.
+	OverShare   int64
+	RouterBusy  int64
+	EnginesFull int64
+	Other       int64
+	// Unserved says that a request was refused or late.
+	Unserved bool
 }
 
 // Ledger holds what teams asked for and got in each second, over all routers.
 type Ledger struct {
-	teams map[string]map[int64]second
+	teams map[string]map[int64]Second
 	best  map[int64]int64
 }
 
-// New returns a ledger of the lines that name teams' tokens.
-func New(lines []explain.Line) *Ledger {
-	l := &Ledger{teams: make(map[string]map[int64]second), best: make(map[int64]int64)}
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{teams: make(map[string]map[int64]Second), best: make(map[int64]int64)}
+}
+
+// Read adds the lines that name teams' tokens.
+func (l *Ledger) Read(lines []explain.Line) {
 	for _, line := range lines {
 		if !strings.Contains(line.Text, "event="+teamTokens+" ") {
 			continue
 		}
 		f := line.Fields()
 		// A line is written at the end of its second.
-		l.add(f["team"], line.Time.Unix()-1, second{
-			asked: number(f["asked"]), begun: number(f["begun"]), share: number(f["over_share"]),
-			busy: number(f["router_busy"]), full: number(f["engines_full"]), other: number(f["other"]),
-			unserved: number(f["unserved"]) > 0,
+		l.Add(f["team"], line.Time.Unix()-1, Second{
+			Asked: number(f["asked"]), Begun: number(f["begun"]), OverShare: number(f["over_share"]),
+			RouterBusy: number(f["router_busy"]), EnginesFull: number(f["engines_full"]), Other: number(f["other"]),
+			Unserved: number(f["unserved"]) > 0,
 		})
 	}
-	return l
 }
 
 // number reads a field; one that is missing counts as 0, as in lines of other versions.
@@ -79,21 +89,23 @@
 	return n
 }
 
-func (l *Ledger) add(team string, at int64, s second) {
+// Add adds what one router did for a team in a second.
+func (l *Ledger) Add(team string, at int64, s Second) {
 	seconds, ok := l.teams[team]
 	if !ok {
-		seconds = make(map[int64]second)
+		seconds = make(map[int64]Second)
 		l.teams[team] = seconds
 	}
 	sum := seconds[at].plus(s)
 	seconds[at] = sum
-	l.best[at] = max(l.best[at], sum.begun)
+	l.best[at] = max(l.best[at], sum.Begun)
 }
 
-func (s second) plus(o second) second {
-	return second{
-		asked: s.asked + o.asked, begun: s.begun + o.begun, share: s.share + o.share, busy: s.busy + o.busy,
-		full: s.full + o.full, other: s.other + o.other, unserved: s.unserved || o.unserved,
+func (s Second) plus(o Second) Second {
+	return Second{
+		Asked: s.Asked + o.Asked, Begun: s.Begun + o.Begun, OverShare: s.OverShare + o.OverShare,
+		RouterBusy: s.RouterBusy + o.RouterBusy, EnginesFull: s.EnginesFull + o.EnginesFull, Other: s.Other + o.Other,
+		Unserved: s.Unserved || o.Unserved,
 	}
 }
 
@@ -130,15 +142,15 @@
 	out := Span{Team: team, From: time.Unix(from, 0).UTC()}
 	for at := from; at < from+Window; at++ {
 		s := l.teams[team][at]
-		out.Asked += s.asked
-		out.Begun += s.begun
+		out.Asked += s.Asked
+		out.Begun += s.Begun
 		out.Best += l.best[at]
-		out.Owed += min(s.asked, l.best[at])
-		out.OverShare += s.share
-		out.RouterBusy += s.busy
-		out.EnginesFull += s.full
-		out.Other += s.other
-		if s.unserved {
+		out.Owed += min(s.Asked, l.best[at])
+		out.OverShare += s.OverShare
+		out.RouterBusy += s.RouterBusy
+		out.EnginesFull += s.EnginesFull
+		out.Other += s.Other
+		if s.Unserved {
 			out.Seconds++
 		}
 	}
--- a/internal/margin/margin_test.go
+++ b/internal/margin/margin_test.go
@@ -38,7 +38,7 @@
 				t.Fatal(err)
 			}
 			var out strings.Builder
-			for _, s := range margin.New(lines).Worst() {
+			for _, s := range worst(lines) {
 				if err := json.NewEncoder(&out).Encode(s); err != nil {
 					t.Fatal(err)
 				}
@@ -47,3 +47,9 @@
 		})
 	})
 }
+
+func worst(lines []explain.Line) []margin.Span {
+	l := margin.New()
+	l.Read(lines)
+	return l.Worst()
+}
