upstream, direct, backend: Bound bytes that are no answer

Servers in trouble may send bytes that are no answer without end, in a head or a body, until their caller closes. A refusal whose body goes on was read for as long as the request had, and a connection with an unread rest could be kept.

Now a head, interim responses included, takes at most 64 KiB, an event 64 KiB, and a failure 1 MiB. The body of a refusal is read for at most 100 ms and 64 KiB, else the connection is closed. Each is the server's failure, and another server is asked where the route allows it.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -59,12 +59,16 @@
 const (
 	maxIdleConns    = 256
 	idleConnTimeout = 30 * time.Second
+	// maxHeadBytes bounds an answer's head: bytes that are none may come without end.
+	maxHeadBytes = 64 << 10
 )
 
 // newTransport returns a transport without automatic compression or redials.
 func newTransport() *http.Transport {
 	return &http.Transport{
 		MaxIdleConnsPerHost: maxIdleConns,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -19,8 +19,22 @@
 const (
 	maxWhole     = 1 << 20
 	streamBuffer = 4 << 10
+	// maxEvent bounds what of a stream is held until its event ends.
+	maxEvent = 64 << 10
 )
 
+// AnswerTooLongError says that more bytes came than an answer's failure or one event may take.
+type AnswerTooLongError struct {
+	Server string
+	// Limit is in bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (e *AnswerTooLongError) Error() string {
+	return fmt.Sprintf("answer of backend server %s is longer than %d bytes", e.Server, e.Limit)
+}
+
 // answer is a server's whole answer.
 type answer struct {
 	resp *http.Response
@@ -49,6 +63,9 @@
 		return r.broke(ctx, c, d, conn, err)
 	}
 	if len(body) == maxWhole {
+		if resp.StatusCode >= http.StatusInternalServerError {
+			return r.broke(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: maxWhole})
+		}
 		return r.passLong(ctx, c, d, conn, resp, body)
 	}
 	r.pool.Release(conn, resp)
@@ -111,6 +128,9 @@
 	for {
 		n, err := resp.Body.Read(buf[:])
 		whole := c.events.Feed(buf[:n])
+		if len(c.events.Rest()) > maxEvent {
+			return r.broke(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: maxEvent})
+		}
 		if errors.Is(err, io.EOF) {
 			whole = append(whole, c.events.Rest()...)
 		}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -183,12 +183,7 @@
 
 // notRun ends an attempt that the server refused.
 func (r *Router) notRun(conn *upstream.Conn, resp *http.Response, d intake.Decision) ending {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxWhole))
-	if err == nil {
-		r.pool.Release(conn, resp)
-	} else {
-		_ = conn.Close()
-	}
+	r.pool.Drain(conn, resp)
 	return ending{
 		result: intake.NotRun, misplaced: resp.StatusCode == http.StatusMisdirectedRequest,
 		err: fmt.Errorf("backend server %s refused: status %d", d.Server.ID, resp.StatusCode),
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -55,9 +55,13 @@
 	idleMargin = 700 * clock.Millis(1)
 	// readBuffer fits a response's header and several stream events.
 	readBuffer = 2 << 10
-	// maxSkipped is how many responses to other requests are read past before a connection is given up.
+	// maxSkipped is how many responses to other requests are read past before a connection is given up, maxSkippedBody how
+	// long the bodies may be that are read past, and maxDrain for how long they are read.
 	maxSkipped     = 2
 	maxSkippedBody = 64 << 10
+	maxDrain       = 100 * time.Millisecond
+	// maxHead bounds a response's head, interim responses included.
+	maxHead = 64 << 10
 )
 
 // Pool holds idle connections by address. It is safe for concurrent use.
@@ -91,6 +95,8 @@
 	net.Conn
 	address string
 	br      *bufio.Reader
+	// head bounds what br reads while a head is read.
+	head *headReader
 	// idleSince is when the last response ended, and life how long after that the connection may be used.
 	idleSince clock.Millis
 	life      clock.Millis
@@ -134,7 +140,8 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	return &Conn{Conn: nc, address: address, br: bufio.NewReaderSize(nc, readBuffer), life: p.o.IdleLife}, nil
+	h := &headReader{r: nc, left: unbounded, address: address}
+	return &Conn{Conn: nc, address: address, br: bufio.NewReaderSize(h, readBuffer), head: h, life: p.o.IdleLife}, nil
 }
 
 func (p *Pool) take(address string) *Conn {
@@ -232,20 +239,36 @@
 		return nil, err
 	}
 	for range maxSkipped + 1 {
-		resp, err := c.head(req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
 		if mine(resp) {
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody)); err != nil {
-			return nil, err
+		if !drain(resp) {
+			break
 		}
 	}
 	return nil, &ForeignError{Address: c.address}
 }
 
+// drain reads a body to its end. It returns false when that is too long or broken.
+func drain(resp *http.Response) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody+1))
+	return err == nil && n <= maxSkippedBody
+}
+
+// Drain reads past the body of a response that nobody needs and keeps the connection, unless the body is long, slow or
+// broken.
+func (p *Pool) Drain(c *Conn, resp *http.Response) {
+	if c.SetReadDeadline(time.Now().Add(maxDrain)) != nil || !drain(resp) || c.SetReadDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	p.Release(c, resp)
+}
+
 // ForeignError says that a server sent responses to other requests only.
 type ForeignError struct {
 	Address string
@@ -256,8 +279,10 @@
 	return fmt.Sprintf("backend server %s answered other requests", e.Address)
 }
 
-// head reads a response's head and passes over interim ones.
-func (c *Conn) head(req *http.Request) (*http.Response, error) {
+// readHead reads a response's head and passes over interim ones.
+func (c *Conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.left = maxHead
+	defer func() { c.head.left = unbounded }()
 	for {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil || resp.StatusCode >= http.StatusOK {
