intake, direct: Don't take a router's own lag for the engines'

Cause: the router measures how long engines take to a first token, and its own late timers are in that time. It takes the engines to be overloaded, lowers its factor on their throughput and refuses its teams as over_share; being pulled towards the other routers' mean leaves it at two thirds of it.

Now a router whose timers are over 10 ms late tells nothing of the engines from what it sees, and the share is that of the mean factor of all routers, so that it is the same wherever a team's callers come.

--- a/internal/direct/overload.go
+++ b/internal/direct/overload.go
@@ -43,6 +43,7 @@
 		r.busy.Store(m.Busy())
 		r.full.Store(others && m.Full())
 		r.intake.SetBusy(others && m.Busy())
+		r.intake.SetLag(m.Late())
 		away := r.rotation.Away(now, r.state(now))
 		if changed || away != r.away.Load() {
 			r.o.Logger.Log(event.OverloadChanged, "overloaded", r.overloaded, "late_ms", int64(m.Lag()),
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,8 +53,10 @@
 	waiting []Request
 	// returns knows who was refused lately.
 	returns returns
-	// busy says that the router has too little processor time for more streams.
-	busy bool
+	// busy says that the router has too little processor time for more streams, and lagging that times which it takes are
+	// its own as much as the engines'.
+	busy    bool
+	lagging bool
 	// peers holds the peers' last reports.
 	peers peers
 }
@@ -76,6 +78,13 @@
 // SetBusy says whether the router has too little processor time for more streams, and others may have more.
 func (c *Controller) SetBusy(busy bool) { c.busy = busy }
 
+// maxLag is the mean lateness of the router's timers up to which it can tell how long engines take: a request waits for the
+// processor some five times until its first event.
+const maxLag = 10 * clock.Millis(1)
+
+// SetLag says how late the router's timers are on average.
+func (c *Controller) SetLag(late clock.Millis) { c.lagging = late > maxLag }
+
 // SetServers replaces the servers that may get work. Requests at others go on.
 func (c *Controller) SetServers(entries []laburnumring.ServerEntry) {
 	c.pools = make(map[string][]*server)
@@ -203,6 +212,8 @@
 	s.succeeded()
 	if c.engine(v.r.Service) {
 		c.bookBegin(now, v.r)
+	}
+	if c.engine(v.r.Service) && !c.lagging {
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
 		if part, ok := queueing(float64(now-v.sent), float64(v.alone), float64(v.r.Goal)); ok {
 			c.supply(v.r.Service).began(part)
@@ -280,7 +291,7 @@
 // Progress records that a stream's next events came, after the given time since those before.
 func (c *Controller) Progress(id int64, events int, took clock.Millis) {
 	v, ok := c.runs[id]
-	if !ok || events == 0 {
+	if !ok || events == 0 || c.lagging {
 		return
 	}
 	s := c.servers[v.server]
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -22,6 +22,7 @@
 //	servers ID=SERVICE/PLACE/SLOTS...
 //	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
+//	lag MS                    how late the router's timers are
 //	busy, free                the router has too little processor time, or enough again
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N] [supply=F]
 //	supply                    prints what peers are told of the engines' throughput
@@ -100,6 +101,8 @@
 		return out.String()
 	case "busy", "free":
 		p.c.SetBusy(d.Cmd == "busy")
+	case "lag":
+		p.c.SetLag(clock.Millis(id))
 	case "unreachable":
 		p.c.Unreachable(p.now, d.CmdArgs[0].Key)
 	case "peer":
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -85,5 +85,7 @@
 // supply returns the mean factor of the other routers; 0 when none told one.
 func (p *peers) supply(service string) float64 {
 	s := p.supplies[service]
-	return float64(s.sum) / float64(thousand*max(1, s.n))
+	return s.total() / float64(max(1, s.n))
 }
+
+func (s supplySum) total() float64 { return float64(s.sum) / thousand }
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -69,7 +69,7 @@
 	}
 	l := math.Inf(1)
 	if t := c.table.Limits().TokensPerSecond; t > 0 {
-		l = fairshare.Level(c.supply(service).times(t), v.teams)
+		l = fairshare.Level(c.factor(now, service)*t, v.teams)
 	}
 	if c.supply(service).scarcity.scarce(now, !math.IsInf(l, 1)) {
 		c.ledger.Forgive(now, maxDebt*l, v.teams)
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -124,9 +124,17 @@
 	s.at = now
 }
 
-func (s *supply) times(tokensPerSecond float64) float64 {
-	if s.factor == 0 {
-		return firstSupply * tokensPerSecond
+// factor returns by how much a service's engines give more than the configured throughput: what all routers find on
+// average, so that a team's share is the same at each.
+func (c *Controller) factor(now clock.Millis, service string) float64 {
+	own, others := c.supply(service), c.peers.supplies[service]
+	switch {
+	case own.current(now):
+		return (own.factor + others.total()) / float64(1+others.n)
+	case others.n > 0:
+		return others.total() / float64(others.n)
+	case own.factor > 0:
+		return own.factor
 	}
-	return s.factor * tokensPerSecond
+	return firstSupply
 }
