httpserve, direct: Leave a busy router time to serve

A flood that one small router gets took all its processor time for refusals: connections were bounded to as many as it can refuse, and hardly that, as those that came while the listener was open for 20 ms counted nothing against later ones. 7,756 requests were served within a second where 200 were the bound.

Now connections beyond the rate count against later ones, up to as many as may come at once, and each counts for two while streams have too little processor time. The rest is reset by the kernel, which costs the router nothing.

TestBusyConnectionRate failed before (7,756 where at most 160 should be).

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -69,7 +69,7 @@
 		MaxIdleConnsPerHost: maxIdleConns,
 
 		MaxResponseHeaderBytes: maxHeadBytes,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
 	}
 }
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -147,7 +147,7 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Reopen: reopen,
+			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Busy: r.Busy, Reopen: reopen,
 			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing, Refused: r.Refused,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
--- a/internal/direct/overload.go
+++ b/internal/direct/overload.go
@@ -23,6 +23,9 @@
 // Full reports whether the process has no processor time for new connections, and other routers may.
 func (r *Router) Full() bool { return r.full.Load() }
 
+// Busy reports whether the process has too little processor time for what is in progress, and other routers may have more.
+func (r *Router) Busy() bool { return r.busy.Load() }
+
 // poll looks at the waiting requests and at the processor's load again and again.
 func (r *Router) poll(ctx context.Context) {
 	m := overload.New()
@@ -40,7 +43,7 @@
 		if r.busy.Load() {
 			r.busyTime += m.Span().Duration()
 		}
-		r.busy.Store(m.Busy())
+		r.busy.Store(others && m.Busy())
 		r.full.Store(others && m.Full())
 		r.intake.SetBusy(others && m.Busy())
 		r.intake.SetLag(m.Late())
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -18,6 +18,8 @@
 	full     func() bool
 	refusing func()
 	refused  func(time.Duration)
+	// busy reports whether the process has little time for new connections; nil for never.
+	busy func() bool
 	// rate bounds the new connections; nil without a bound.
 	rate *rate.Limiter
 	// room holds an entry for each open connection; nil without a bound.
@@ -45,10 +47,13 @@
 	shutPause = 20 * time.Millisecond
 	// burstTime is how long connections may come at any rate: what they start waits for the processor.
 	burstTime = 150 * time.Millisecond
+	// busyTokens is how many connections one counts for while there is little time: the rate is what the process could
+	// refuse, and it should serve some.
+	busyTokens = 2
 )
 
 func newGate(ln net.Listener, l Listener) *gate {
-	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, refused: l.Refused, closed: make(chan struct{}), opened: time.Now()}
+	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, refused: l.Refused, busy: l.Busy, closed: make(chan struct{}), opened: time.Now()}
 	if l.ConnsPerSecond > 0 {
 		g.rate = rate.NewLimiter(rate.Limit(l.ConnsPerSecond), max(1, int(burstTime.Seconds()*l.ConnsPerSecond)))
 	}
@@ -69,7 +74,7 @@
 
 // Accept implements net.Listener.
 func (g *gate) Accept() (net.Conn, error) {
-	for g.open != nil && (g.roomless() || g.taken && time.Since(g.opened) >= minOpen && g.crowded()) {
+	for g.open != nil && (g.roomless() || g.taken && (time.Since(g.opened) >= minOpen || g.indebted()) && g.crowded()) {
 		if err := g.shut(); err != nil {
 			return nil, err
 		}
@@ -78,12 +83,28 @@
 	c, err := g.accept()
 	g.taken = true
 	if g.rate != nil && err == nil {
-		// More than the bound come in while the listener must be open.
-		_ = g.rate.Allow()
+		g.spend()
 	}
 	return c, err
 }
 
+// spend counts a connection. More than the bound come in while the listener must be open; they count against later ones,
+// up to as many as may come at once.
+func (g *gate) spend() {
+	n := 1
+	if g.busy != nil && g.busy() {
+		n = min(busyTokens, g.rate.Burst())
+	}
+	if !g.indebted() {
+		g.rate.ReserveN(time.Now(), n)
+	}
+}
+
+// indebted reports whether as many came beyond the bound as are counted.
+func (g *gate) indebted() bool {
+	return g.rate != nil && g.rate.Tokens() <= -float64(g.rate.Burst())
+}
+
 // roomless reports whether as many connections are open as may be.
 func (g *gate) roomless() bool { return g.room != nil && len(g.room) == cap(g.room) }
 
--- a/internal/httpserve/gate_test.go
+++ b/internal/httpserve/gate_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -151,6 +152,34 @@
 	}
 }
 
+// TestBusyConnectionRate takes half as many connections of a flood while there is little time: some of them are to be
+// served.
+func TestBusyConnectionRate(t *testing.T) {
+	const perSecond = 200
+	var taken atomic.Int64
+	address := serveConns(t, true, httpserve.Listener{
+		ConnsPerSecond: perSecond, Busy: func() bool { return true },
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { taken.Add(1) }),
+	})
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for time.Since(began) < time.Second {
+				if !get(address) {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	// Half of the rate and of what may come at once, and what comes in while the listener must be open.
+	most := 0.8 * perSecond * time.Since(began).Seconds()
+	if n := taken.Load(); n == 0 || float64(n) > most {
+		t.Errorf("%d requests served, want some and at most %.0f", n, most)
+	}
+}
+
 // TestFull refuses a connection that would wait for others to end, and takes one when there is room again.
 func TestFull(t *testing.T) {
 	address := serveConns(t, true, httpserve.Listener{MaxConns: 1, Handler: http.HandlerFunc(
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -43,6 +43,8 @@
 	// beyond that most are reset. Nil and 0 are for no bound.
 	Full           func() bool
 	ConnsPerSecond float64
+	// Busy reports whether half as many are to be taken; it may be nil.
+	Busy func() bool
 	// Reopen opens the listener again; both need it. It is tried until it succeeds.
 	Reopen func() (net.Listener, error)
 	// Refusing is told each time that new connections begin to be reset; it may be nil.
