intake, fairshare, direct: Hold each team to its share by the second

- A router without processor time refused every stream, also of a team behind its share, for as long as its timers were late.
Nothing bounded that.
- The books remembered two seconds.
A team that began to flood, or whose share fell, began up to two seconds' share at once and next to nothing in the second after (kaba60: 971,000, then 114,000, of a share of 380,000).
The best team of each second is what the others are owed beside.
- A team's part at a router left out callers that come back, and compared sums over different times.
A router to which refused callers came held what it had sent against the team several times (told 315,000, held 578,000, share 267,000).

Now what was served counts over one second. Beside it routers tell what came and what was sent over half a second. A team's part is taken of all that comes. The bound in time is that half second.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -11,15 +11,23 @@
 
 // Options are the settings of a Ledger.
 type Options struct {
-	// Memory is the time constant with which past tokens are forgotten; two seconds when zero.
-	Memory clock.Millis
+	// AskedMemory, ServedMemory and RecentMemory are the time constants with which past tokens are forgotten, the last for
+	// Came and Recent; two seconds, one and a half when zero.
+	AskedMemory  clock.Millis
+	ServedMemory clock.Millis
+	RecentMemory clock.Millis
 	// PeerLife is how long a peer's report counts; 1.5 seconds when zero.
 	PeerLife clock.Millis
 }
 
 const (
-	// defaultMemory is half of the users' window for shares, as a decayed sum reaches back twice its constant.
-	defaultMemory = 2 * clock.Second
+	// defaultAskedMemory is half of the users' window for shares, as a decayed sum reaches back twice its constant.
+	defaultAskedMemory = 2 * clock.Second
+	// defaultServedMemory is the users' unit when they compare what teams got: a team may begin as much at once as its share
+	// is in this time, and is held back as long for what it began too much.
+	defaultServedMemory = 1 * clock.Second
+	// defaultRecentMemory is longer than the reports of 28 routers are old.
+	defaultRecentMemory = 500 * clock.Millis(1)
 	// defaultPeerLife is several periods of the routers' exchange, so that single losses do not show.
 	defaultPeerLife = 1500 * clock.Millis(1)
 )
@@ -27,10 +35,14 @@
 // Rates are a team's tokens per second.
 type Rates struct {
 	_ struct{} `cbor:",toarray"`
-	// Asked counts the tokens of all requests that came, Served those of requests that were sent to a server, up to
+	// Asked counts the tokens of all requests that came for the first time, Served those of requests that were sent to a server, up to
 	// what is held against the team.
 	Asked  float64
 	Served float64
+	// Came and Recent look back less far. Came counts all requests that came, also those of callers who were refused
+	// before; Recent counts requests that were sent, whatever is held against the team.
+	Came   float64
+	Recent float64
 }
 
 // tally is one team's decayed sums at this router.
@@ -62,25 +74,38 @@
 type sum struct {
 	asked  int64
 	served int64
+	came   int64
+	recent int64
 	n      int
 }
 
 const thousand = 1000
 
 func (s sum) add(r Rates, n int) sum {
+	times := int64(n)
 	return sum{
-		asked: s.asked + int64(n)*int64(thousand*r.Asked), served: s.served + int64(n)*int64(thousand*r.Served), n: s.n + n,
+		asked: s.asked + times*int64(thousand*r.Asked), served: s.served + times*int64(thousand*r.Served),
+		came: s.came + times*int64(thousand*r.Came), recent: s.recent + times*int64(thousand*r.Recent), n: s.n + n,
 	}
 }
 
 func (s sum) rates() Rates {
-	return Rates{Asked: float64(s.asked) / thousand, Served: float64(s.served) / thousand}
+	return Rates{
+		Asked: float64(s.asked) / thousand, Served: float64(s.served) / thousand,
+		Came: float64(s.came) / thousand, Recent: float64(s.recent) / thousand,
+	}
 }
 
 // New returns a ledger without teams.
 func New(o Options) *Ledger {
-	if o.Memory == 0 {
-		o.Memory = defaultMemory
+	if o.AskedMemory == 0 {
+		o.AskedMemory = defaultAskedMemory
+	}
+	if o.ServedMemory == 0 {
+		o.ServedMemory = defaultServedMemory
+	}
+	if o.RecentMemory == 0 {
+		o.RecentMemory = defaultRecentMemory
 	}
 	if o.PeerLife == 0 {
 		o.PeerLife = defaultPeerLife
@@ -88,15 +113,21 @@
 	return &Ledger{o: o, own: make(map[string]*tally), peers: make(map[string]report), others: make(map[string]sum)}
 }
 
+// Come counts tokens of a team's request that came, for the first time or again.
+func (l *Ledger) Come(now clock.Millis, team string, tokens int64) {
+	l.team(now, team).rates.Came += rate(tokens, l.o.RecentMemory)
+}
+
 // Ask counts tokens that team asked for.
 func (l *Ledger) Ask(now clock.Millis, team string, tokens int64) {
-	l.team(now, team).rates.Asked += l.rate(tokens)
+	l.team(now, team).rates.Asked += rate(tokens, l.o.AskedMemory)
 }
 
 // Serve counts tokens that team was served; negative ones take back what was not.
 func (l *Ledger) Serve(now clock.Millis, team string, tokens int64) {
 	t := l.team(now, team)
-	t.rates.Served = max(0, t.rates.Served+l.rate(tokens))
+	t.rates.Served = max(0, t.rates.Served+rate(tokens, l.o.ServedMemory))
+	t.rates.Recent = max(0, t.rates.Recent+rate(tokens, l.o.RecentMemory))
 }
 
 // Forgive lowers what this router served to teams that received more than limit fleet-wide, each router in
@@ -116,8 +147,11 @@
 	out := make(map[string]Rates, len(l.own))
 	for name := range l.own {
 		r := l.team(now, name).rates
-		if r.Asked >= minRate {
-			out[name] = Rates{Asked: float64(float32(r.Asked)), Served: float64(float32(r.Served))}
+		if max(r.Asked, r.Came, r.Recent) >= minRate {
+			out[name] = Rates{
+				Asked: float64(float32(r.Asked)), Served: float64(float32(r.Served)),
+				Came: float64(float32(r.Came)), Recent: float64(float32(r.Recent)),
+			}
 		}
 	}
 	return out
@@ -189,13 +223,13 @@
 	return out
 }
 
-// Part returns how much of what a team asks for it asks here, from 0 to 1, and what it was served here.
-func (l *Ledger) Part(now clock.Millis, team string) (part, served float64) {
+// Part returns how much of a team's requests came here, from 0 to 1, and what it was served here.
+func (l *Ledger) Part(now clock.Millis, team string) (part float64, own Rates) {
 	if _, ok := l.own[team]; !ok {
-		return 0, 0
+		return 0, Rates{}
 	}
-	own := l.team(now, team).rates
-	return own.Asked / max(minRate, l.Total(now, team).Asked), own.Served
+	own = l.team(now, team).rates
+	return own.Came / max(minRate, l.Total(now, team).Came), own
 }
 
 // expire drops the reports that are too old.
@@ -215,7 +249,9 @@
 }
 
 func (r Rates) plus(o Rates) Rates {
-	return Rates{Asked: r.Asked + o.Asked, Served: r.Served + o.Served}
+	return Rates{
+		Asked: r.Asked + o.Asked, Served: r.Served + o.Served, Came: r.Came + o.Came, Recent: r.Recent + o.Recent,
+	}
 }
 
 // team returns the team's tally, decayed to now.
@@ -226,14 +262,20 @@
 		l.own[name] = t
 	}
 	if now > t.at {
-		keep := math.Exp(-float64(now-t.at) / float64(l.o.Memory))
-		t.rates.Asked *= keep
-		t.rates.Served *= keep
+		passed := now - t.at
+		t.rates.Asked *= keep(passed, l.o.AskedMemory)
+		t.rates.Served *= keep(passed, l.o.ServedMemory)
+		recent := keep(passed, l.o.RecentMemory)
+		t.rates.Came *= recent
+		t.rates.Recent *= recent
 		t.at = now
 	}
 	return t
 }
 
-func (l *Ledger) rate(tokens int64) float64 {
-	return float64(tokens) * float64(clock.Second) / float64(l.o.Memory)
+// keep returns what is left of a rate after some time.
+func keep(passed, memory clock.Millis) float64 { return math.Exp(-float64(passed) / float64(memory)) }
+
+func rate(tokens int64, memory clock.Millis) float64 {
+	return float64(tokens) * float64(clock.Second) / float64(memory)
 }
--- a/internal/fairshare/fairshare_test.go
+++ b/internal/fairshare/fairshare_test.go
@@ -7,6 +7,9 @@
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 )
 
+// memories are the time constants that the tests count with.
+var memories = fairshare.Options{AskedMemory: 2000, ServedMemory: 2000, RecentMemory: 1000}
+
 func TestLevel(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -33,7 +36,7 @@
 // TestLedger follows a team that received much while nobody else asked: it is not held against it for long, and
 // reports of silent peers lapse.
 func TestLedger(t *testing.T) {
-	l := fairshare.New(fairshare.Options{})
+	l := fairshare.New(memories)
 	l.Ask(0, "ann", 200_000)
 	l.Serve(0, "ann", 200_000)
 	l.Merge(0, "r2", map[string]fairshare.Rates{"ann": {Asked: 50_000, Served: 100_000}, "bob": {Asked: 10}})
@@ -57,16 +60,20 @@
 	}
 }
 
-// TestPart divides a team by what it asks of each router.
+// TestPart divides a team by what comes to each router, also again.
 func TestPart(t *testing.T) {
-	l := fairshare.New(fairshare.Options{})
-	if part, served := l.Part(0, "ann"); part != 0 || served != 0 {
-		t.Errorf("part %v, served %v of a team that asked nothing", part, served)
+	l := fairshare.New(memories)
+	if part, own := l.Part(0, "ann"); part != 0 || own != (fairshare.Rates{}) {
+		t.Errorf("part %v, own %v of a team that asked nothing", part, own)
 	}
-	l.Ask(0, "ann", 50_000)
+	l.Come(0, "ann", 25_000)
 	l.Serve(0, "ann", 20_000)
-	l.Merge(0, "r2", map[string]fairshare.Rates{"ann": {Asked: 75_000, Served: 40_000}})
-	if part, served := l.Part(0, "ann"); part != 0.25 || served != 10_000 {
-		t.Errorf("part %v, served %v, want a quarter and 10000", part, served)
+	l.Merge(0, "r2", map[string]fairshare.Rates{"ann": {Asked: 75_000, Served: 40_000, Came: 75_000, Recent: 40_000}})
+	want := fairshare.Rates{Served: 10_000, Came: 25_000, Recent: 20_000}
+	if part, own := l.Part(0, "ann"); part != 0.25 || own != want {
+		t.Errorf("part %v, own %v, want a quarter and %v", part, own, want)
+	}
+	if total := l.Total(0, "ann"); total.Recent != 60_000 || total.Came != 100_000 {
+		t.Errorf("total %v", total)
 	}
 }
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -18,9 +18,6 @@
 	// case; longTime is the part from which on the request itself is too long to count.
 	spareTime = 0.5
 	longTime  = 0.6
-	// behindShare is the part of its share below which a team's requests are sent though they will be late: the users'
-	// rule of fairness counts what a team got, and half of what others got is the least.
-	behindShare = 0.6
 	// returnedShare is the part of its share up to which a team's returned callers are served.
 	returnedShare = 0.8
 	// spareSlots is the part of an engine's slots that late requests may fill.
@@ -132,9 +129,14 @@
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) (Decision, bool) {
 	level := c.level(now, v, r.Service)
-	served := c.received(now, v, r.Team, level)
+	limit := level
+	if r.returned() {
+		// Requests that can still be on time go first.
+		limit *= returnedShare
+	}
+	team := c.standing(now, v, r.Team, level, limit)
 	best, reachable := c.bestEngine(now, r, v, pool, svc)
-	best.basis.Served = int64(served)
+	best.basis.Served = int64(v.teams[r.Team].Served)
 	if !math.IsInf(level, 1) {
 		best.basis.Level = int64(level)
 	}
@@ -145,31 +147,29 @@
 				c.peers.supply(r.Service))
 		}
 	}
-	if r.returned() {
-		// Requests that can still be on time go first.
-		level *= returnedShare
-	}
-	excess := served > level
 	waited := now - r.Arrived
 	late := float64(now-r.asked)+float64(best.basis.Expected) > goalTime*float64(r.Goal)
 	if best.s != nil && r.Begun {
 		return c.send(now, r, best, v), true
 	}
-	behind := !math.IsInf(level, 1) && served < behindShare*level
-	if best.s != nil && !excess && !c.elsewhere(r) && (!late || behind || spare(r, best, svc)) {
-		return c.send(now, r, best, v), true
+	elsewhere := c.elsewhere(r) && !team.behind
+	hurry := team.behind && !math.IsInf(level, 1)
+	if best.s != nil && !team.ahead && !elsewhere && (!late || hurry || spare(r, best, svc)) {
+		d := c.send(now, r, best, v)
+		d.Owed = team.behind
+		return d, true
 	}
-	if excess && !r.Begun {
-		return withBasis(refuse(r, reasonShare, c.shareWait(v, r, level)), best.basis), true
+	if team.ahead && !r.Begun {
+		return withBasis(refuse(r, reasonShare, c.shareWait(v, r, limit)), best.basis), true
 	}
 	if !reachable {
 		return refuse(r, reasonNoServer, clock.Second), true
 	}
-	if c.elsewhere(r) {
+	if elsewhere {
 		return Decision{Request: r.ID, Refusal: Elsewhere(), Basis: best.basis}, true
 	}
 	wait := c.queueWait(r, len(pool))
-	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) {
+	if float64(waited) > lateTime*float64(r.Limit-r.Arrived) || wait > float64(r.Goal) && !team.behind {
 		return withBasis(refuse(r, reasonEngines, clock.Millis(wait)+r.Goal), best.basis), true
 	}
 	return Decision{}, false
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -123,6 +123,9 @@
 	if at, ok := c.returns.first(now, r.Fingerprint); ok {
 		r.asked = min(at, r.Arrived-1)
 	}
+	if c.engine(r.Service) {
+		c.ledger.Come(now, r.Team, r.tokens())
+	}
 	switch {
 	case !c.engine(r.Service):
 	case r.returned():
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -20,16 +20,16 @@
 // TestDecisions plays scripts of requests and servers. Times are in milliseconds, at=T moves the clock:
 //
 //	servers ID=SERVICE/PLACE/SLOTS...
-//	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N]
+//	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N [first=MS]]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
 //	lag MS                    how late the router's timers are
 //	busy, free                the router has too little processor time, or enough again
-//	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served]... [refused=N] [supply=F]
+//	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=asked/served[/came/recent]]... [refused=N] [supply=F]
 //	supply                    prints what peers are told of the engines' throughput
 //	book                      prints what teams asked for and got since it was last printed
 //
 // Submit prints the decision, or that the request waits; with times, how many of so many requests were sent to each
-// server or refused for which reason.
+// server or refused for which reason. First is when their first events come.
 func TestDecisions(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		p := &player{c: newController(), next: 1000}
@@ -145,7 +145,11 @@
 		case len(n) == 3:
 			r.Servers[a.Key] = intake.Load{Running: int(n[0]), Queued: n[1], Memory: n[2]}
 		default:
-			r.Teams[a.Key] = fairshare.Rates{Asked: float64(n[0]), Served: float64(n[1])}
+			t := fairshare.Rates{Asked: float64(n[0]), Served: float64(n[1]), Came: float64(n[0]), Recent: float64(n[1])}
+			if len(n) == 4 {
+				t.Came, t.Recent = float64(n[2]), float64(n[3])
+			}
+			r.Teams[a.Key] = t
 		}
 	}
 	p.c.Merge(p.now, d.CmdArgs[0].Key, r)
@@ -160,6 +164,8 @@
 	d.MaybeScanArgs(p.t, "goal", (*int64)(&r.Goal))
 	d.MaybeScanArgs(p.t, "limit", &limit)
 	d.MaybeScanArgs(p.t, "times", &times)
+	first := clock.Millis(0)
+	d.MaybeScanArgs(p.t, "first", (*int64)(&first))
 	if d.MaybeScanArgs(p.t, "content", &content) {
 		r.Fingerprint = uint64(content)
 	}
@@ -192,8 +198,8 @@
 			counts[v.Refusal.Reason]++
 		default:
 			counts["sent"]++
-			p.c.Started(p.now, r.ID)
-			p.c.Ended(p.now, r.ID, intake.Whole)
+			p.c.Started(p.now+first, r.ID)
+			p.c.Ended(p.now+first, r.ID, intake.Whole)
 		}
 	}
 	return strings.TrimPrefix(fmt.Sprintln(counts), "map")
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -78,24 +78,8 @@
 	return l
 }
 
-const (
-	// maxDebt is the most that is held against a team from a time of plenty, as a part of its share.
-	maxDebt = 1.3
-	// knownPart is the part of its share up to which a team is served by what all routers told. Over it, the routers
-	// divide its share by what it asks of each, as together they would overrun it before they hear of each other.
-	knownPart = 0.5
-)
-
-// received returns what a team received of its share, in tokens per second: what all routers told of it, or what all
-// would give if they gave as much of what it asks of them as this one.
-func (c *Controller) received(now clock.Millis, v *view, team string, level float64) float64 {
-	told := v.teams[team].Served
-	part, own := c.ledger.Part(now, team)
-	if told <= knownPart*level || part == 0 {
-		return told
-	}
-	return max(told, own/part)
-}
+// maxDebt is the most that is held against a team from a time of plenty, as a part of its share.
+const maxDebt = 1.3
 
 func (c *Controller) supply(service string) *supply {
 	s, ok := c.supplies[service]
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -50,6 +50,8 @@
 	Server laburnumring.ServerEntry
 	// Refusal is set when the request is refused.
 	Refusal *RefusedError
+	// Owed says that the request's team is behind its share, so that a lack of processor time does not keep it back.
+	Owed bool
 	// Basis is what the decision rests on, for the log.
 	Basis Basis
 }
