direct, rotation: Leave the balancer's rotation while a router cannot send

A router whose list of backend servers is old, while other routers read it, refuses every request as list_old after up to a second, and said that it was ready; one whose memory for bodies is used up refused as router_full and stayed in the rotation.

Now a router that may not send is not ready, and one that is full counts as one that sheds. The balancer then moves callers within two of its looks.

For router_full there is no test of its own: it takes the way of connections that are reset, which internal/overload and internal/rotation test.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -161,6 +161,8 @@
 		}
 	}
 	if n := max(0, c.req.ContentLength); r.o.MaxHeld > 0 && r.held.Load()+n > r.o.MaxHeld {
+		// A router that is full for long leaves the rotation like one without processor time.
+		r.Refusing()
 		return r.reject(c, http.StatusServiceUnavailable, "router_full")
 	}
 	if c.body, err = readBody(c, t.Limits()); err != nil {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -243,8 +243,9 @@
 // Requests returns how many requests came.
 func (r *Router) Requests() int64 { return r.count.Load() }
 
-// Ready reports whether new connections should come to this router.
-func (r *Router) Ready() bool { return r.serving() && !r.away.Load() }
+// Ready reports whether new connections should come to this router: not while it cannot send, or others have more
+// processor time.
+func (r *Router) Ready() bool { return r.serving() && !r.away.Load() && r.listYoung() }
 
 // serving reports whether the router has a configuration and does not stop.
 func (r *Router) serving() bool { return r.stopping.Load() == 0 && r.table.Load() != nil }
@@ -252,7 +253,7 @@
 // state returns what the other routers are told of this one; callers hold mu.
 func (r *Router) state(now clock.Millis) rotation.State {
 	return rotation.State{
-		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving(), Overloaded: r.overloaded,
+		Place: r.o.Place, Capacity: r.o.Capacity, Serving: r.serving() && r.listUsable(now), Overloaded: r.overloaded,
 		Strained: r.rotation.Strained(now), Away: r.away.Load(),
 	}
 }
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -87,9 +87,13 @@
 
 // listYoung reports whether the list may be sent by: it is young, or no router can read a newer one.
 func (r *Router) listYoung() bool {
-	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.listUsable(r.o.Clock.Now())
+}
+
+// listUsable is listYoung for callers that hold mu.
+func (r *Router) listUsable(now clock.Millis) bool {
 	age := r.listAge(now)
 	return age != gossip.Unread && age <= maxSendAge || r.roster.Away(now)
 }
--- a/internal/rotation/rotation.go
+++ b/internal/rotation/rotation.go
@@ -17,7 +17,7 @@
 	Place string
 	// Capacity is the router's processor time in thousandths of a core; 0 when it is not known.
 	Capacity int
-	// Serving says that the router has a configuration and does not stop.
+	// Serving says that the router has a configuration, may send and does not stop.
 	Serving bool
 	// Overloaded says that it gets too little processor time now, Strained that it did lately.
 	Overloaded bool
