cpulag, overload: Don't count a pause of the VM as overload

After a VM had stood still for five seconds its router took itself to be busy and full for some 300 ms, refused streams and let connections be reset, and counted as overloaded: the small routers of its place left the rotation for 15 s. One late timer alone filled the mean of 150 ms, whatever its bound.

--- a/internal/cpulag/cpulag.go
+++ b/internal/cpulag/cpulag.go
@@ -18,9 +18,11 @@
 
 const (
 	defaultMemory = 1 * clock.Second
-	// maxLate bounds what one timer counts for: a VM that stood still was not overloaded. It is over the pause of a
-	// processor whose quota for a tenth of a second is used up.
+	// maxLate bounds what one timer counts for. It is over the pause of a processor whose quota for a tenth of a second is
+	// used up.
 	maxLate = 200 * clock.Millis(1)
+	// maxPause is how late a timer is at most for want of processor time: a VM that stood still longer was not overloaded.
+	maxPause = 2 * clock.Second
 )
 
 // Meter follows a timer that should fire at a fixed interval. It is used by one goroutine at a time.
@@ -49,6 +51,9 @@
 	}
 	passed := now - m.last
 	m.last = now
+	if passed > maxPause {
+		return false
+	}
 	return m.late.Observe(float64(min(maxLate, max(0, passed-interval))), min(passed, maxLate))
 }
 
--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,35 @@
+package overload_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/laburnumring/laburnumring/internal/overload"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// TestMeter lets timers fire: "fire every=MS for=MS [reset]" prints what the meter makes of them; with reset, connections
+// are reset all the while.
+func TestMeter(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		m, now := overload.New(), clock.Millis(1000)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var every, length int64
+			d.ScanArgs(t, "every", &every)
+			d.ScanArgs(t, "for", &length)
+			for end := now + clock.Millis(length); now < end; {
+				now += clock.Millis(every)
+				reset := clock.Millis(0)
+				if d.HasArg("reset") {
+					reset = now
+				}
+				m.Fired(now, reset)
+			}
+			return fmt.Sprintf("busy=%t full=%t overloaded=%t late=%d shed=%s\n", m.Busy(), m.Full(), m.Overloaded(),
+				m.Late(), strconv.FormatFloat(m.Shed(), 'f', 2, 64))
+		})
+	})
+}
