httpserve, direct, upstream: Keep the configuration's limits of connections

The configuration says how long a header may be and take, how long a connection may be idle, and how many connections a server takes from all routers.

Now connections that wait are swept four times a second by the limits of the moment, a longer header is answered 431, and the idle connections to a server are half of what it takes, divided by the routers.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -42,8 +42,10 @@
 	// closeTimeout bounds the end of what is still open when the router has waited for its requests: the process must
 	// end before the platform kills it.
 	closeTimeout = 150 * time.Millisecond
-	// idleTimeout is over the time after which today's callers use a connection no more.
+	// idleTimeout counts until a configuration is held, whose own figure counts then.
 	idleTimeout = 20 * time.Second
+	// headerBytes is the longest header that is read; the configuration's bound is shorter.
+	headerBytes = 256 << 10
 	// heldPart is the part of the memory that callers' bodies may take.
 	heldPart = 0.15
 	// connPart is the part of the memory that callers' connections may take before they are not kept, and connBytes
@@ -146,8 +148,9 @@
 	soft := min(int(softConns*float64(s.MaxFiles)), int(connPart*float64(s.MemoryBytes)/connBytes))
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
-			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout,
-			SoftConns: soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Busy: r.Busy, Reopen: reopen,
+			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout, Limits: r.Limits,
+			MaxHeaderBytes: headerBytes,
+			SoftConns:      soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Busy: r.Busy, Reopen: reopen,
 			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing, Refused: r.Refused,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -142,6 +142,9 @@
 	if t == nil {
 		return r.reject(c, http.StatusServiceUnavailable, "no_configuration")
 	}
+	if most := t.Limits().HeaderBytes; most > 0 && headerBytes(c.req) > most {
+		return r.reject(c, http.StatusRequestHeaderFieldsTooLarge, "header_too_long")
+	}
 	if err != nil || c.head.ID == "" {
 		return r.reject(c, http.StatusBadRequest, "bad_header")
 	}
@@ -178,6 +181,17 @@
 	return true
 }
 
+// headerBytes returns how long a request's header was at least, by what is known of it when it was read.
+func headerBytes(req *http.Request) int {
+	n := len(req.Method) + len(req.RequestURI) + len(req.Host)
+	for name, values := range req.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 func readBody(c *call, l routing.Limits) ([]byte, error) {
 	limit := l.BodyBytes
 	if limit == 0 {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -240,6 +240,16 @@
 	r.o.Logger.Log(event.Stopped)
 }
 
+// Limits returns how long callers may take for a header and keep a connection idle by the configuration in force; zero
+// where it does not say.
+func (r *Router) Limits() (header, idle time.Duration) {
+	t := r.table.Load()
+	if t == nil {
+		return 0, 0
+	}
+	return t.Limits().HeaderTimeout.Duration(), t.Limits().Idle.Duration()
+}
+
 // Requests returns how many requests came.
 func (r *Router) Requests() int64 { return r.count.Load() }
 
@@ -284,6 +294,7 @@
 		now := r.o.Clock.Now()
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.pool.SetMaxIdle(r.idleBounds())
 		r.suspects.Prune(now)
 		r.metrics.state(r.intake.Waiting(), r.inbound.Load(), r.suspects.Held())
 		r.metrics.kept.Set(float64(r.roster.CountKept()))
@@ -295,6 +306,25 @@
 	})
 }
 
+// idlePart is the part of the connections that a server takes which routers may keep idle together: the others are in use.
+const idlePart = 0.5
+
+// idleBounds returns how many idle connections may be kept to each server's address; callers hold mu.
+func (r *Router) idleBounds() map[string]int {
+	t := r.table.Load()
+	if t == nil {
+		return nil
+	}
+	out := make(map[string]int, len(r.ready))
+	routers := 1 + len(r.gossip.Peers())
+	for _, e := range r.ready {
+		if s, ok := t.Service(e.Service); ok && s.MaxConns > 0 {
+			out[e.Address] = max(1, int(idlePart*float64(s.MaxConns))/routers)
+		}
+	}
+	return out
+}
+
 // minRetryParts is among how many routers the burst is divided at least: twice those of a small site, so that VMs which
 // are added and routers that have just begun stay within it.
 const minRetryParts = 10
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -2,15 +2,18 @@
 package httpserve
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
 
@@ -18,7 +21,9 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
 	defaultCloseTimeout  = 2 * time.Second
-	maxHeaderBytes       = 64 << 10
+	defaultHeaderBytes   = 64 << 10
+	// sweepInterval is the time between two looks at connections that pass limits which may change.
+	sweepInterval = 250 * time.Millisecond
 )
 
 // Listener is one address and what is served there.
@@ -35,6 +40,10 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long a connection may be idle; two minutes when zero.
 	IdleTimeout time.Duration
+	// Limits returns both as they are now, in place of the fixed ones; nil when they stay. A zero one is the fixed one.
+	Limits func() (header, idle time.Duration)
+	// MaxHeaderBytes is the longest header; 64 KiB when zero.
+	MaxHeaderBytes int
 	// MaxConns is the most connections that are served at a time, others wait unaccepted; 0 for no bound.
 	MaxConns int
 	// SoftConns is from how many open connections on each answer ends its connection; 0 for never.
@@ -76,10 +85,17 @@
 		}
 		servers = append(servers, s)
 	}
+	sweeping, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var sweeps sync.WaitGroup
 	for _, s := range servers {
 		go func() { s.served <- s.srv.Serve(s.ln) }()
+		if s.limits != nil {
+			sweeps.Go(func() { interval.Every(sweeping, sweepInterval, func() { s.watcher.sweep(time.Now(), s.limits) }) })
+		}
 	}
 	workErr := work(ctx)
+	stop()
+	sweeps.Wait()
 	return errors.Join(workErr, closeAll(servers))
 }
 
@@ -107,6 +123,8 @@
 	ln      net.Listener
 	srv     *http.Server
 	watcher *watcher
+	// limits returns the limits of connections; nil when the server keeps them itself.
+	limits func() (header, idle time.Duration)
 	// closeTimeout bounds the wait for open requests.
 	closeTimeout time.Duration
 	// served gets the result of serving.
@@ -133,17 +151,30 @@
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
 	}
+	if l.MaxHeaderBytes == 0 {
+		l.MaxHeaderBytes = defaultHeaderBytes
+	}
+	limits := l.Limits
+	if limits != nil {
+		limits = func() (time.Duration, time.Duration) {
+			header, idle := l.Limits()
+			return cmp.Or(header, l.HeaderTimeout), cmp.Or(idle, l.IdleTimeout)
+		}
+	}
 	w := newWatcher(l.Refusals, l.SoftConns)
 	srv := &http.Server{
-		Handler:           w.wrap(l.Handler),
-		ReadHeaderTimeout: l.HeaderTimeout,
-		IdleTimeout:       l.IdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          w.errorLog(),
-		ConnState:         w.connState,
-		ConnContext:       w.connContext,
-	}
-	return &server{ln: ln, srv: srv, watcher: w, served: make(chan error, 1), closeTimeout: l.CloseTimeout}, nil
+		Handler:        w.wrap(l.Handler),
+		MaxHeaderBytes: l.MaxHeaderBytes,
+		ErrorLog:       w.errorLog(),
+		ConnState:      w.connState,
+		ConnContext:    w.connContext,
+	}
+	if limits == nil {
+		srv.ReadHeaderTimeout, srv.IdleTimeout = l.HeaderTimeout, l.IdleTimeout
+	}
+	return &server{
+		ln: ln, srv: srv, watcher: w, limits: limits, served: make(chan error, 1), closeTimeout: l.CloseTimeout,
+	}, nil
 }
 
 func (s *server) close() error {
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/internal/refusal"
@@ -28,12 +29,31 @@
 	open sync.WaitGroup
 
 	mu sync.Mutex
-	// unanswered counts, for each open connection, headers that began to arrive and did not reach the handler.
-	unanswered map[net.Conn]int
+	// conns holds the open connections.
+	conns map[net.Conn]*connection
 }
 
+// connection is what is known of an open connection.
+type connection struct {
+	// unanswered counts headers that began to arrive and did not reach the handler.
+	unanswered int
+	// waits says for what the other side is waited, since the given time.
+	waits waiting
+	since time.Time
+}
+
+// waiting is what a connection waits for.
+type waiting int
+
+const (
+	// waitsForNothing is a connection with a request in progress.
+	waitsForNothing waiting = iota
+	waitsForHeader
+	waitsForRequest
+)
+
 func newWatcher(r *refusal.Recorder, softConns int) *watcher {
-	return &watcher{refusals: r, softConns: softConns, unanswered: make(map[net.Conn]int)}
+	return &watcher{refusals: r, softConns: softConns, conns: make(map[net.Conn]*connection)}
 }
 
 // connKey is the context key of a request's connection.
@@ -54,7 +74,7 @@
 func (w *watcher) wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-			w.add(c, -1)
+			w.note(c, -1, waitsForNothing)
 		}
 		if w.crowded() {
 			rw.Header().Set("Connection", "close")
@@ -68,9 +88,11 @@
 	switch state {
 	case http.StateNew:
 		w.open.Add(1)
-		w.add(c, 0)
+		w.note(c, 0, waitsForHeader)
 	case http.StateActive:
-		w.add(c, 1)
+		w.note(c, 1, waitsForHeader)
+	case http.StateIdle:
+		w.note(c, 0, waitsForRequest)
 	case http.StateClosed, http.StateHijacked:
 		defer w.open.Done()
 		if w.forget(c) > 0 && state == http.StateClosed {
@@ -84,23 +106,50 @@
 func (w *watcher) crowded() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.softConns > 0 && len(w.unanswered) >= w.softConns
+	return w.softConns > 0 && len(w.conns) >= w.softConns
 }
 
-func (w *watcher) add(c net.Conn, n int) {
+// note adds to the headers of a connection and says for what it waits from now on.
+func (w *watcher) note(c net.Conn, headers int, waits waiting) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.unanswered[c] += n
+	v, ok := w.conns[c]
+	if !ok {
+		v = &connection{}
+		w.conns[c] = v
+	}
+	v.unanswered += headers
+	v.waits, v.since = waits, time.Now()
 }
 
 func (w *watcher) forget(c net.Conn) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	n := w.unanswered[c]
-	delete(w.unanswered, c)
+	n := 0
+	if v, ok := w.conns[c]; ok {
+		n = v.unanswered
+	}
+	delete(w.conns, c)
 	return n
 }
 
+// sweep closes the connections that wait longer than the limits allow.
+func (w *watcher) sweep(now time.Time, limits func() (header, idle time.Duration)) {
+	header, idle := limits()
+	w.mu.Lock()
+	var old []net.Conn
+	for c, v := range w.conns {
+		waited := now.Sub(v.since)
+		if v.waits == waitsForHeader && waited > header || v.waits == waitsForRequest && waited > idle {
+			old = append(old, c)
+		}
+	}
+	w.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
 // errorLog returns a logger that turns net/http's messages of failed handshakes into refusals.
 func (w *watcher) errorLog() *log.Logger {
 	return log.New(w, "", 0)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,7 +42,7 @@
 	DialTimeout time.Duration
 	// IdleLife is how long an idle connection is kept when its server does not say; two seconds when zero.
 	IdleLife clock.Millis
-	// MaxIdle is the most idle connections to one server; 32 when zero.
+	// MaxIdle is the most idle connections to one server for which SetMaxIdle says nothing; 32 when zero.
 	MaxIdle int
 }
 
@@ -72,6 +72,8 @@
 	mu sync.Mutex
 	// idle holds each server's connections, the last used at the end.
 	idle map[string][]*Conn
+	// maxIdle bounds them by address.
+	maxIdle map[string]int
 }
 
 // New returns a pool without connections.
@@ -161,7 +163,11 @@
 	p.mu.Lock()
 	list := append(p.idle[c.address], c)
 	var oldest *Conn
-	if len(list) > p.o.MaxIdle {
+	most := p.o.MaxIdle
+	if n, ok := p.maxIdle[c.address]; ok {
+		most = min(most, n)
+	}
+	if len(list) > most {
 		oldest = list[0]
 		list = append(list[:0], list[1:]...)
 	}
@@ -172,6 +178,13 @@
 	}
 }
 
+// SetMaxIdle bounds the idle connections by address, as servers take so many from all callers.
+func (p *Pool) SetMaxIdle(byAddress map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxIdle = byAddress
+}
+
 // Prune closes connections that were idle too long.
 func (p *Pool) Prune() {
 	now := p.o.Clock.Now()
