soak: Flood a router that stands still most of the time

Real processes: two teams flood one router each, as a balancer keeps callers together; the first router is stopped for 70 ms of each 100 for ten seconds. What servers ran is held against what callers asked, second by second, by the users' rule.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 
 .PHONY: bench slopes platform-build platform-soak
 
-# SOAK_FLAGS="--routers 4 --faulty 14s --leaving" or "--lapsing" plays servers that leave while routers are disturbed.
+# SOAK_FLAGS="--routers 4 --faulty 14s --leaving" or "--lapsing" plays servers that leave while routers are disturbed,
+# "--routers 2 --faulty 10s --flooding" a team whose router gets little processor time.
 SOAK_FLAGS ?=
 
 # Runs routers as processes on loopback under random faults; one JSON object a seed, the last line is the sum.
--- a/cmd/platformsoak/main.go
+++ b/cmd/platformsoak/main.go
@@ -24,9 +24,11 @@
 	faulty := app.Flag("faulty", "How long faults are made.").Default("6s").Duration()
 	leaving := app.Flag("leaving", "Let servers leave one after the other while single routers are disturbed.").Bool()
 	lapsing := app.Flag("lapsing", "The same, with outages of the store in which entries lapse.").Bool()
+	flooding := app.Flag("flooding", "Let two teams flood one router each, of which one gets little processor time.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	os.Exit(play(*dir, *start, *seeds, soak.Options{
 		Program: *program, Routers: *routers, Callers: *callers, Faulty: *faulty, Leaving: *leaving, Lapsing: *lapsing,
+		Flooding: *flooding,
 	}))
 }
 
