intake: Send late requests first only for a team that is behind for longer

Now a late request is sent at once only while its team got under 0.6 of its share over a second as well. The floor against a busy router and against what was received before stays as it is.

--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -153,8 +153,7 @@
 		return c.send(now, r, best, v), true
 	}
 	elsewhere := c.elsewhere(r) && !team.behind
-	hurry := team.behind && !math.IsInf(level, 1)
-	if best.s != nil && !team.ahead && !elsewhere && (!late || hurry || spare(r, best, svc)) {
+	if best.s != nil && !team.ahead && !elsewhere && (!late || team.hurry || spare(r, best, svc)) {
 		d := c.send(now, r, best, v)
 		d.Owed = team.behind
 		return d, true
--- a/internal/intake/standing.go
+++ b/internal/intake/standing.go
@@ -1,6 +1,10 @@
 package intake
 
-import "github.com/laburnumring/laburnumring/pkg/clock"
+import (
+	"math"
+
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
 
 const (
 	// floorShare is the part of its share, or of what comes if that is less, below which neither a router's own trouble nor
@@ -10,6 +14,9 @@
 	// peakShare is the part of its share over which a team that asks for more is held back, though it received less over a
 	// longer time: what one team gets in a second the others are owed beside it.
 	peakShare = 1.25
+	// hurryShare is the part of its share below which a team that is behind gets late requests served before those of
+	// others that can be on time.
+	hurryShare = 0.6
 )
 
 // standing is how a team stands towards its share.
@@ -17,6 +24,8 @@
 	// behind says that the team got less than the floor just now, ahead that it got more than its share.
 	behind bool
 	ahead  bool
+	// hurry says that it is behind for longer, so that its requests are sent though they will be late.
+	hurry bool
 }
 
 // standing returns how a team stands towards its share level. Limit is the part of it up to which the request is served.
@@ -30,6 +39,7 @@
 		recent = max(recent, own.Recent/part)
 	}
 	s := standing{behind: recent < floorShare*min(level, told.Came)}
+	s.hurry = s.behind && !math.IsInf(level, 1) && told.Served < hurryShare*level
 	s.ahead = !s.behind && (over || told.Asked > level && recent > peakShare*level)
 	return s
 }
