--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -68,7 +68,8 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.tokens, m.waiting, m.inbound, m.suspects, m.listAge, m.kept)
+	m.registry.MustRegister(m.ended, m.refused, m.first, m.sends, m.tokens, m.waiting, m.inbound, m.suspects, m.listAge,
+		m.kept)
 	return m
 }
 
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -35,8 +35,8 @@
 // Rates are a team's tokens per second.
 type Rates struct {
 	_ struct{} `cbor:",toarray"`
-	// Asked counts the tokens of all requests that came for the first time, Served those of requests that were sent to a server, up to
-	// what is held against the team.
+	// Asked counts the tokens of all requests that came for the first time, Served those of requests that were sent to a
+	// server, up to what is held against the team.
 	Asked  float64
 	Served float64
 	// Came and Recent look back less far. Came counts all requests that came, also those of callers who were refused
@@ -223,7 +223,7 @@
 	return out
 }
 
-// Part returns how much of a team's requests came here, from 0 to 1, and what it was served here.
+// Part returns how much of a team's requests came here, from 0 to 1, and the team's rates here.
 func (l *Ledger) Part(now clock.Millis, team string) (part float64, own Rates) {
 	if _, ok := l.own[team]; !ok {
 		return 0, Rates{}
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -53,7 +53,10 @@
 )
 
 func newGate(ln net.Listener, l Listener) *gate {
-	g := &gate{ln: ln, open: l.Reopen, full: l.Full, refusing: l.Refusing, refused: l.Refused, busy: l.Busy, closed: make(chan struct{}), opened: time.Now()}
+	g := &gate{
+		ln: ln, open: l.Reopen, full: l.Full, busy: l.Busy, refusing: l.Refusing, refused: l.Refused,
+		closed: make(chan struct{}), opened: time.Now(),
+	}
 	if l.ConnsPerSecond > 0 {
 		g.rate = rate.NewLimiter(rate.Limit(l.ConnsPerSecond), max(1, int(burstTime.Seconds()*l.ConnsPerSecond)))
 	}
--- a/internal/margin/margin.go
+++ b/internal/margin/margin.go
@@ -2,6 +2,7 @@
 package margin
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -117,7 +118,8 @@
 		worst := Span{Margin: math.Inf(1)}
 		for from := range l.teams[team] {
 			s := l.Span(team, from)
-			if s.Seconds == Window && s.Owed > 0 && (s.Margin < worst.Margin || s.Margin == worst.Margin && s.From.Before(worst.From)) {
+			waited := s.Seconds == Window && s.Owed > 0
+			if waited && (s.Margin < worst.Margin || s.Margin == worst.Margin && s.From.Before(worst.From)) {
 				worst = s
 			}
 		}
@@ -125,15 +127,7 @@
 			out = append(out, worst)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b Span) int {
-		switch {
-		case a.Margin < b.Margin:
-			return -1
-		case a.Margin > b.Margin:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(out, func(a, b Span) int { return cmp.Compare(a.Margin, b.Margin) })
 	return out
 }
 
