--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -80,22 +80,20 @@
 // Overloaded reports whether new connections should go to other routers.
 func (m *Meter) Overloaded() bool { return m.lag.Overloaded() || m.shed.On() }
 
-// Busy reports whether there is too little processor time for more streams, Full whether there is none for new
-// connections either.
+// Busy reports whether there is too little processor time for more streams.
 func (m *Meter) Busy() bool { return m.busy.Overloaded() }
 
-// Full is described at Busy.
+// Full reports whether there is none for new connections either.
 func (m *Meter) Full() bool { return m.full.Overloaded() }
 
-// Late returns the mean lateness over a short and Lag over a longer time, Shed the part of the time in which streams or
-// connections were refused, and Span the time since the last firing but one.
+// Late returns how late timers are on average over a short time.
 func (m *Meter) Late() clock.Millis { return m.busy.Late() }
 
-// Lag is described at Late.
+// Lag returns how late timers are on average over a longer time, on which Overloaded rests.
 func (m *Meter) Lag() clock.Millis { return m.lag.Late() }
 
-// Shed is described at Late.
+// Shed returns the part of the time in which streams or connections were refused.
 func (m *Meter) Shed() float64 { return m.shed.Mean() }
 
-// Span is described at Late.
+// Span returns the time between the last two firings.
 func (m *Meter) Span() clock.Millis { return m.span }
