--- a/internal/margin/margin.go
+++ b/internal/margin/margin.go
@@ -16,7 +16,7 @@
 // teamTokens is the number of the event with a team's tokens in a second.
 const teamTokens = "5009"
 
-// Window is the time over which shares are compared.
+// Window is the time over which shares are compared, in seconds.
 const Window = 6
 
 // Span is one team's share over some seconds.
