intake, account, direct: Log what a team received just now, not one figure twice

Since the share counts what was told by all routers, the fields told and served of 5009 were the same figure, and what decides beside it, the half second, stood in no line: a refusal as over_share with served under share could not be explained from its log.

Beside it, without change of behaviour: margin takes the event's number from the catalogue; one way to book a refusal; the bound on heads needs no special case for bodies; one look at the kind of service for each request that comes or begins; no gap and no overlong line in three literals.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -31,13 +31,19 @@
 	Refused [causes]int64
 	// Unserved is how many requests were refused, or began after their goal.
 	Unserved int
-	// Told, Served and Level are the figures that the last decision rested on, in tokens per second: what all routers
-	// told that the team received, what was held against it, and the max-min share. Level is 0 when all are served.
-	Told   int64
+	// Served, Recent and Level are the figures that the last decision rested on, in tokens per second: what the team
+	// received over a longer and over a shorter time, and the max-min share. Level is 0 when all are served.
 	Served int64
+	Recent int64
 	Level  int64
 }
 
+// Refuse books a refused request.
+func (e *Entry) Refuse(why Cause, tokens int64) {
+	e.Refused[why] += tokens
+	e.Unserved++
+}
+
 // Book holds the entries of a span of time. It is used by one goroutine at a time.
 type Book struct {
 	teams map[string]*Entry
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -66,10 +66,9 @@
 // newTransport returns a transport without automatic compression or redials.
 func newTransport() *http.Transport {
 	return &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConns,
-
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxIdleConnsPerHost:    maxIdleConns,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -115,7 +115,8 @@
 		Retry: retrycap.Options{
 			Window: s.RetryWindow, Ratio: retryCaution * s.RetryRatio, Burst: s.RetryBurst,
 		},
-		Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries, MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
+		Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
+		MaxHeld: int64(heldPart * float64(s.MemoryBytes)),
 	})
 }
 
@@ -149,8 +150,8 @@
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: idleTimeout, Limits: r.Limits,
-			MaxHeaderBytes: headerBytes,
-			SoftConns:      soft, MaxConns: int(maxConns * float64(soft)), Full: r.Full, Busy: r.Busy, Reopen: reopen,
+			MaxHeaderBytes: headerBytes, SoftConns: soft, MaxConns: int(maxConns * float64(soft)),
+			Full: r.Full, Busy: r.Busy, Reopen: reopen,
 			ConnsPerSecond: float64(s.Capacity) / connTime, Refusing: r.Refusing, Refused: r.Refused,
 		},
 		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
--- a/internal/direct/summary.go
+++ b/internal/direct/summary.go
@@ -54,8 +54,8 @@
 		r.o.Summaries.Log(event.TeamShare, "team", name, "asked", e.Asked, "returned", e.Returned, "sent", e.Sent,
 			"undone", e.Undone, "begun", e.Begun, "over_share", e.Refused[account.Share],
 			"router_busy", e.Refused[account.Processor], "engines_full", e.Refused[account.Engines],
-			"other", e.Refused[account.Other], "unserved", e.Unserved, "told", e.Told, "served", e.Served,
-			"share", e.Level)
+			"other", e.Refused[account.Other], "unserved", e.Unserved, "served", e.Served,
+			"recent", e.Recent, "share", e.Level)
 	}
 	now := load{requests: r.count.Load(), shut: time.Duration(r.refused.Load()), busy: busy}
 	if now != last {
--- a/internal/experiment/intake.go
+++ b/internal/experiment/intake.go
@@ -99,15 +99,11 @@
 			p.decided(r, d)
 		}
 	}
-	interval := p.w.site.Exchange
-	if interval == 0 {
-		interval = exchangeInterval
-	}
 	if p.w.now >= p.looked+lookInterval {
 		p.looked = p.w.now
 		p.look()
 	}
-	if p.w.now < p.exchange+interval {
+	if p.w.now < p.exchange+cmp.Or(p.w.site.Exchange, exchangeInterval) {
 		return
 	}
 	p.exchange = p.w.now
--- a/internal/intake/book.go
+++ b/internal/intake/book.go
@@ -13,17 +13,14 @@
 	if !c.engine(r.Service) {
 		return
 	}
-	e := c.book.Team(r.Team)
-	e.Refused[cause(reason)] += r.tokens()
-	e.Unserved++
+	c.book.Team(r.Team).Refuse(cause(reason), r.tokens())
 }
 
 // BookRejection books a request to an engine that is refused before any decision.
 func (c *Controller) BookRejection(r Request) {
 	e := c.book.Team(r.Team)
 	e.Asked += r.tokens()
-	e.Refused[account.Other] += r.tokens()
-	e.Unserved++
+	e.Refuse(account.Other, r.tokens())
 }
 
 func cause(reason string) account.Cause {
@@ -50,7 +47,7 @@
 	}
 }
 
-func (c *Controller) bookBasis(team string, v *view, b Basis) {
+func (c *Controller) bookBasis(team string, b Basis) {
 	e := c.book.Team(team)
-	e.Told, e.Served, e.Level = int64(v.teams[team].Served), b.Served, b.Level
+	e.Served, e.Recent, e.Level = b.Served, b.Recent, b.Level
 }
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -136,11 +136,11 @@
 	}
 	team := c.standing(now, v, r.Team, level, limit)
 	best, reachable := c.bestEngine(now, r, v, pool, svc)
-	best.basis.Served = int64(v.teams[r.Team].Served)
+	best.basis.Served, best.basis.Recent = int64(v.teams[r.Team].Served), int64(team.recent)
 	if !math.IsInf(level, 1) {
 		best.basis.Level = int64(level)
 	}
-	c.bookBasis(r.Team, v, best.basis)
+	c.bookBasis(r.Team, best.basis)
 	if best.s != nil && r.Goal > 0 {
 		if begin, ok := queueing(float64(best.basis.Expected), float64(best.alone), float64(r.Goal)); ok {
 			c.supply(r.Service).observe(now, begin, best.end(r, svc)/float64(r.Limit-r.Arrived),
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -125,14 +125,12 @@
 	}
 	if c.engine(r.Service) {
 		c.ledger.Come(now, r.Team, r.tokens())
-	}
-	switch {
-	case !c.engine(r.Service):
-	case r.returned():
-		c.book.Team(r.Team).Returned += r.tokens()
-	default:
-		c.book.Team(r.Team).Asked += r.tokens()
-		c.ledger.Ask(now, r.Team, r.tokens())
+		if r.returned() {
+			c.book.Team(r.Team).Returned += r.tokens()
+		} else {
+			c.book.Team(r.Team).Asked += r.tokens()
+			c.ledger.Ask(now, r.Team, r.tokens())
+		}
 	}
 	return c.consider(now, r)
 }
@@ -213,10 +211,11 @@
 	s := c.servers[v.server]
 	s.load.Queued -= v.load.Queued
 	s.succeeded()
-	if c.engine(v.r.Service) {
-		c.bookBegin(now, v.r)
+	if !c.engine(v.r.Service) {
+		return
 	}
-	if c.engine(v.r.Service) && !c.lagging {
+	c.bookBegin(now, v.r)
+	if !c.lagging {
 		c.forecast(v.r.Service).Observe(v.server, v.ahead, now-v.sent)
 		if part, ok := queueing(float64(now-v.sent), float64(v.alone), float64(v.r.Goal)); ok {
 			c.supply(v.r.Service).began(part)
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -65,8 +65,10 @@
 	Queued  int64
 	Fresh   int64
 	Running int
-	// Served and Level are the team's tokens per second and the max-min share; Level is 0 when all are served.
+	// Served and Recent are the team's tokens per second over a longer and a shorter time, Level the max-min share; Level
+	// is 0 when all are served.
 	Served int64
+	Recent int64
 	Level  int64
 	// PeerAge is the age of the oldest peer's report that was used; 0 without peers.
 	PeerAge clock.Millis
--- a/internal/intake/standing.go
+++ b/internal/intake/standing.go
@@ -21,6 +21,8 @@
 
 // standing is how a team stands towards its share.
 type standing struct {
+	// recent is what the team received over a short time, in tokens per second, as far as this router can tell.
+	recent float64
 	// behind says that the team got less than the floor just now, ahead that it got more than its share.
 	behind bool
 	ahead  bool
@@ -38,7 +40,7 @@
 		// much of what comes to them as it gave itself.
 		recent = max(recent, own.Recent/part)
 	}
-	s := standing{behind: recent < floorShare*min(level, told.Came)}
+	s := standing{recent: recent, behind: recent < floorShare*min(level, told.Came)}
 	s.hurry = s.behind && !math.IsInf(level, 1) && told.Served < hurryShare*level
 	s.ahead = !s.behind && (over || told.Asked > level && recent > peakShare*level)
 	return s
--- a/internal/margin/margin.go
+++ b/internal/margin/margin.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -10,12 +11,10 @@
 	"strings"
 	"time"
 
+	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/explain"
 )
 
-// teamTokens is the number of the event with a team's tokens in a second.
-const teamTokens = "5009"
-
 // Window is the time over which shares are compared, in seconds.
 const Window = 6
 
@@ -67,8 +66,9 @@
 
 // Read adds the lines that name teams' tokens.
 func (l *Ledger) Read(lines []explain.Line) {
+	mark := fmt.Sprintf("event=%d ", event.TeamShare.ID())
 	for _, line := range lines {
-		if !strings.Contains(line.Text, "event="+teamTokens+" ") {
+		if !strings.Contains(line.Text, mark) {
 			continue
 		}
 		f := line.Fields()
@@ -117,7 +117,7 @@
 	for _, team := range slices.Sorted(maps.Keys(l.teams)) {
 		worst := Span{Margin: math.Inf(1)}
 		for from := range l.teams[team] {
-			s := l.Span(team, from)
+			s := l.span(team, from)
 			waited := s.Seconds == Window && s.Owed > 0
 			if waited && (s.Margin < worst.Margin || s.Margin == worst.Margin && s.From.Before(worst.From)) {
 				worst = s
@@ -131,8 +131,8 @@
 	return out
 }
 
-// Span returns a team's share in the window that begins at a Unix second.
-func (l *Ledger) Span(team string, from int64) Span {
+// span returns a team's share in the window that begins at a Unix second.
+func (l *Ledger) span(team string, from int64) Span {
 	out := Span{Team: team, From: time.Unix(from, 0).UTC()}
 	for at := from; at < from+Window; at++ {
 		s := l.teams[team][at]
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -6,7 +6,7 @@
 	"math"
 )
 
-// unbounded is the bound while a body is read.
+// unbounded is what is left while a body is read: no body is as long.
 const unbounded = math.MaxInt64
 
 // HeadTooLongError says that a server sent more than a response's head may take. The connection cannot be used again.
@@ -30,9 +30,6 @@
 
 // Read implements io.Reader.
 func (h *headReader) Read(p []byte) (int, error) {
-	if h.left == unbounded {
-		return h.r.Read(p)
-	}
 	if h.left <= 0 {
 		return 0, &HeadTooLongError{Address: h.address, Limit: maxHead}
 	}
