direct, roster, intake: Believe what a server says of itself

Cause: the router read neither the header by which a server says that it leaves nor the Retry-After of a server's 503. A leaving server got requests until the store's list said so, and a server that had asked for a pause got the next request at once.

Ruled out: taking the store's list alone (it comes later, and not at all while the store is away); forgetting the departure when the list says ready (the entry is written by another call and may be older).

Change: an answer that says so takes the server's incarnation out of work, at this router at once and at the others by the next messages. The next incarnation (another start time, or address where there is none) gets work again. A pause is part of placement, by id, and is looked at once more just before a request is sent; when all servers of a service pause, callers are refused at once with the time at which the first one takes requests.

--- a/direct.go
+++ b/direct.go
@@ -56,6 +56,10 @@
 	Sealed bool
 	// NotRun reports whether the server states that it has not run the request and will not.
 	NotRun bool
+	// Leaving reports whether the server states that it is about to stop.
+	Leaving bool
+	// Pause is how long the server wants no further request from this router; 0 if it does not ask for a pause.
+	Pause clock.Millis
 }
 
 // Dialect converts between HTTP headers and the router's types. Its methods do not retain the headers.
@@ -64,8 +68,9 @@
 	Call(h http.Header) (CallHeader, error)
 	// Send changes the headers of a caller's request into those for a backend server.
 	Send(h http.Header, s SendHeader)
-	// Reply parses the status and headers of a backend server's response.
-	Reply(status int, h http.Header) ReplyHeader
+	// Reply parses the status and headers of a backend server's response. An error names a header that is not valid and
+	// its value; the reply is usable nevertheless.
+	Reply(status int, h http.Header) (ReplyHeader, error)
 }
 
 // ServerState tells whether a backend server accepts new requests.
@@ -100,6 +105,9 @@
 type ServerList struct {
 	// Revision increases with each change of the list.
 	Revision int64 `cbor:"revision"`
+	// Era counts how often the platform has recovered its data from a backup. Such a recovery undoes the latest changes,
+	// and their authors make them again; Revision increases nevertheless.
+	Era int64 `cbor:"era"`
 	// Entries holds the servers. No two have the same id.
 	Entries []ServerEntry `cbor:"entries"`
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/roster"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/upstream"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -94,13 +95,18 @@
 		r.mu.Unlock()
 	}
 	resp, err := conn.Exchange(out, func(resp *http.Response) bool {
-		id := r.o.Dialect.Reply(resp.StatusCode, resp.Header).ID
-		return id == "" || id == c.head.ID
+		// An invalid header of a response to this request is reported below.
+		reply, _ := r.o.Dialect.Reply(resp.StatusCode, resp.Header)
+		return reply.ID == "" || reply.ID == c.head.ID
 	})
 	if err != nil {
 		return r.connectionLost(ctx, c, d, conn, err)
 	}
-	reply := r.o.Dialect.Reply(resp.StatusCode, resp.Header)
+	reply, err := r.o.Dialect.Reply(resp.StatusCode, resp.Header)
+	if err != nil {
+		r.o.Logger.Log(event.ReplyHeaderInvalid, "id", c.head.ID, "server", d.Server.ID, "error", err)
+	}
+	r.observeReply(c, d, reply)
 	if reply.NotRun {
 		return r.serverRefused(conn, resp, d)
 	}
@@ -115,6 +121,25 @@
 	return r.forwardBuffered(ctx, c, d, conn, resp)
 }
 
+// observeReply records what a server says of itself in its response: that it leaves, or wants no requests for a while.
+func (r *Router) observeReply(c *call, d intake.Decision, reply laburnumring.ReplyHeader) {
+	if !reply.Leaving && reply.Pause == 0 {
+		return
+	}
+	now := r.o.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.Leaving && r.roster.RecordDeparture(roster.Departure{Server: d.Server.ID, Born: d.Server.Born, Address: d.Server.Address, At: now}) {
+		r.o.Logger.Log(event.ServerLeaves, "server", d.Server.ID, "address", d.Server.Address, "born", d.Server.Born,
+			"id", c.head.ID, "source", "server")
+		r.serversChanged("server")
+	}
+	if reply.Pause > 0 {
+		r.o.Logger.Log(event.ServerPauses, "server", d.Server.ID, "id", c.head.ID, "pause_ms", int64(reply.Pause))
+		r.intake.Pause(d.Server.ID, now+reply.Pause)
+	}
+}
+
 // refuseAssigned refuses a request for which a server had been chosen.
 func (r *Router) refuseAssigned(c *call, d intake.Decision, refusal *intake.RefusedError) {
 	r.mu.Lock()
@@ -128,10 +153,12 @@
 // It then returns how the attempt ended.
 func (r *Router) checkDecision(now clock.Millis, c *call, d intake.Decision) (attemptEnd, bool) {
 	r.mu.Lock()
-	listed := r.intake.Listed(d.Server.ID)
+	accepts := r.intake.Accepts(now, d.Server.ID)
 	r.mu.Unlock()
-	if !listed {
-		return attemptEnd{result: intake.NotRun, err: fmt.Errorf("backend server %s is no longer listed", d.Server.ID)}, true
+	if !accepts {
+		return attemptEnd{
+			result: intake.NotRun, err: fmt.Errorf("backend server %s left or asked for a pause meanwhile", d.Server.ID),
+		}, true
 	}
 	if r.busy.Load() && !d.Underserved && c.attempts == 0 && c.route.Stream() && now-c.arrived > maxBusyWait {
 		r.refuseAssigned(c, d, intake.RouterBusyError())
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -301,6 +301,8 @@
 		defer r.mu.Unlock()
 		r.pool.SetMaxIdle(r.idleLimits())
 		r.suspects.Prune(now)
+		r.intake.PrunePauses(now)
+		r.roster.Prune(now)
 		r.metrics.setGauges(r.intake.Waiting(), r.inbound.Load(), r.suspects.SuspectCount())
 		r.metrics.retained.Set(float64(r.roster.RetainedCount()))
 		for address, list := range r.disconnects {
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -74,12 +74,23 @@
 		r.o.Logger.Log(event.ListReachable, "revision", l.Revision)
 	}
 	r.listReachable, r.listUnreachable = true, false
-	if r.roster.Apply(r.o.Clock.Now(), l, began) {
-		r.serversChanged("platform")
-	}
+	r.applyServers(l, began, "platform")
 	r.notifyListUpdated()
 }
 
+// applyServers applies a list that was the platform's newest at the given time. The caller holds mu.
+func (r *Router) applyServers(l laburnumring.ServerList, at clock.Millis, source string) {
+	era := r.roster.Era()
+	changed := r.roster.Apply(r.o.Clock.Now(), l, at)
+	if r.roster.Era() > era {
+		r.o.Logger.Log(event.StoreRestored, "era", r.roster.Era(), "before", era, "revision", r.roster.Revision(),
+			"source", source, "withheld", r.roster.WithheldCount(), "kept", r.roster.RetainedCount())
+	}
+	if changed {
+		r.serversChanged(source)
+	}
+}
+
 // notifyListUpdated wakes the requests that wait for the list. The caller holds mu.
 func (r *Router) notifyListUpdated() {
 	close(r.listUpdated)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -18,6 +18,7 @@
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/readshare"
+	"github.com/laburnumring/laburnumring/internal/roster"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -35,7 +36,33 @@
 		Relayed: &gossip.Ages{
 			Configuration: ageOrUnknown(r.configurationReads.ReceivedAge(now)), Roster: ageOrUnknown(r.listReads.ReceivedAge(now)),
 		},
-		Work: r.intake.Report(now), Suspects: entries, State: r.state(now),
+		Work: r.intake.Report(now), Suspects: entries, State: r.state(now), Departures: r.departures(now),
+	}
+}
+
+// departures returns the recent departures of servers for the peers. The caller holds mu.
+func (r *Router) departures(now clock.Millis) []gossip.Departure {
+	var out []gossip.Departure
+	for _, d := range r.roster.Departures(now - departureTTL) {
+		out = append(out, gossip.Departure{Server: d.Server, Born: d.Born, Address: d.Address, Age: now - d.At})
+	}
+	return out
+}
+
+// recordDepartures applies the departures of servers that a peer reports. The caller holds mu.
+func (r *Router) recordDepartures(now clock.Millis, from string, list []gossip.Departure) {
+	changed := false
+	for _, d := range list {
+		if d.Age < 0 || d.Age > departureTTL {
+			continue
+		}
+		if r.roster.RecordDeparture(roster.Departure{Server: d.Server, Born: d.Born, Address: d.Address, At: now - d.Age}) {
+			r.o.Logger.Log(event.ServerLeaves, "server", d.Server, "address", d.Address, "born", d.Born, "source", from)
+			changed = true
+		}
+	}
+	if changed {
+		r.serversChanged(from)
 	}
 }
 
@@ -49,6 +76,7 @@
 	for _, e := range m.Suspects {
 		r.suspects.Merge(now, e)
 	}
+	r.recordDepartures(now, from.String(), m.Departures)
 	rank := r.rank()
 	r.configurationReads.SetRank(rank)
 	r.listReads.SetRank(rank)
@@ -89,6 +117,8 @@
 	updateTTL = 1 * clock.Second
 	// maxOldEntries is the maximum number of older entries that a message has in addition.
 	maxOldEntries = 4
+	// departureTTL is how long messages repeat that a server leaves. It covers three rounds through hundreds of peers.
+	departureTTL = 4 * clock.Second
 )
 
 // ageOrUnknown returns an age, or the unknown age if ok is false.
@@ -186,9 +216,7 @@
 			at = max(at, began-age)
 		}
 	}
-	if r.roster.Apply(r.o.Clock.Now(), s.Servers, at) {
-		r.serversChanged(from.String())
-	}
+	r.applyServers(s.Servers, at, from.String())
 	confirm(r.listReads, began, s.ServersAge, s.ServersHeard)
 	r.notifyListUpdated()
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -25,6 +25,8 @@
 	PlatformRecordBad       = Event{2013, log.WarnLevel, "platform record ignored"}
 	PeerMessageBad          = Event{2014, log.WarnLevel, "peer message ignored"}
 	PeerStateReceived       = Event{2015, log.InfoLevel, "state taken from a peer"}
+	StoreRestored           = Event{2016, log.WarnLevel, "platform's store recovered from a backup"}
+	StoreEraInvalid         = Event{2017, log.WarnLevel, "era of the platform's store ignored"}
 	SettingsReloaded        = Event{1007, log.InfoLevel, "settings read again"}
 	OverloadChanged         = Event{1009, log.WarnLevel, "processor overload changed"}
 	ListenerNotOpened       = Event{1010, log.WarnLevel, "listener not opened again"}
@@ -48,6 +50,9 @@
 	AttemptFailed           = Event{5008, log.InfoLevel, "backend server failed a request"}
 	ServerAddressReassigned = Event{4006, log.WarnLevel, "another backend server has the address"}
 	ServerUnreachable       = Event{4007, log.WarnLevel, "backend server unreachable"}
+	ServerLeaves            = Event{4008, log.InfoLevel, "backend server said that it leaves"}
+	ReplyHeaderInvalid      = Event{4009, log.WarnLevel, "header of backend server ignored or cut"}
+	ServerPauses            = Event{4010, log.InfoLevel, "backend server asked for a pause"}
 	RequestSuspected        = Event{4005, log.WarnLevel, "request was running when its backend server died"}
 	LimitChanged            = Event{8002, log.DebugLevel, "limit of requests inside the backend server moved"}
 	ShareParent             = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
@@ -74,8 +79,10 @@
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotExchanged,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerStateReceived,
+		StoreRestored, StoreEraInvalid,
 		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, RouterLoad,
 		RequestSent, RequestNotAdmitted, RequestEnded, AttemptFailed, TeamShare, ServerAddressReassigned, ServerUnreachable,
+		ServerLeaves, ReplyHeaderInvalid, ServerPauses,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerConnectionLost, RouterSessionEnded,
 		RequestIncomplete, AnswerBroken, AttemptRetried,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -52,6 +52,18 @@
 	State rotation.State `cbor:"11,keyasint"`
 	// Suspects are the requests that are suspected of crashing servers.
 	Suspects []suspect.Entry `cbor:"9,keyasint"`
+	// Departures are servers that have recently said that they leave.
+	Departures []Departure `cbor:"14,keyasint,omitempty"`
+}
+
+// Departure is a server that has said that it leaves.
+type Departure struct {
+	_       struct{} `cbor:",toarray"`
+	Server  string
+	Born    int64
+	Address string
+	// Age is how long before the message the first router knew of it.
+	Age clock.Millis
 }
 
 // Ages are how long ago the versions that a router holds were last known to be the platform's newest; UnknownAge when
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -71,6 +70,9 @@
 	if len(pool) == 0 {
 		return refuse(r, reasonNoServer, clock.Second), true
 	}
+	if pause := c.poolPause(now, pool); pause > 0 {
+		return refuse(r, reasonPaused, pause), true
+	}
 	svc, _ := c.table.Service(r.Service)
 	if !svc.IsEngine {
 		return c.decidePlain(now, r, v, pool, svc)
@@ -91,7 +93,7 @@
 	for _, s := range pool {
 		l := c.load(s)
 		slots := slotsOf(svc, s)
-		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) || l.Running >= slots+queueSlots {
+		if !c.available(now, s, r) || l.Running >= slots+queueSlots {
 			continue
 		}
 		score := float64(l.Running+1) / float64(slots)
@@ -193,6 +195,8 @@
 	reasonShare    = "over_share"
 	reasonEngines  = "engines_full"
 	reasonNoServer = "no_server"
+	// reasonPaused means that all servers have asked for a pause.
+	reasonPaused = "servers_paused"
 	// reasonBusy is the reason of refusals that apply to this router alone.
 	reasonBusy = "router_busy"
 	// busyRetryAfter makes callers retry at another router at once.
@@ -230,7 +234,7 @@
 	preferred := partServers(r, pool)
 	best.score = math.Inf(1)
 	for _, s := range pool {
-		if now < s.blockedUntil || slices.Contains(r.Tried, s.entry.ID) {
+		if !c.available(now, s, r) {
 			continue
 		}
 		reachable = true
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,6 +6,8 @@
 package intake
 
 import (
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
@@ -63,6 +65,8 @@
 	// timersLate is set while the router's timers are so late that the times it measures are due to the router as much
 	// as to the engines.
 	timersLate bool
+	// pauses holds the time until which each server wants no requests from this router, by id.
+	pauses map[string]clock.Millis
 	// peers holds the latest reports of the other routers.
 	peers peers
 }
@@ -74,7 +78,8 @@
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), attempts: make(map[int64]*attempt),
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint64]clock.Millis)},
-		peers: newPeers(),
+		pauses: make(map[string]clock.Millis),
+		peers:  newPeers(),
 	}
 }
 
@@ -119,10 +124,34 @@
 	}
 }
 
-// Listed reports whether a server is on the list of servers that may get work.
-func (c *Controller) Listed(id string) bool {
+// Accepts reports whether a server is on the list of servers that may get work and has not asked for a pause.
+func (c *Controller) Accepts(now clock.Millis, id string) bool {
 	s, ok := c.servers[id]
-	return ok && slices.Contains(c.pools[s.entry.Service], s)
+	return ok && now >= c.pauses[id] && slices.Contains(c.pools[s.entry.Service], s)
+}
+
+// Pause records that a server wants no requests from this router until the given time. Its later incarnations under the
+// same id get none either.
+func (c *Controller) Pause(id string, until clock.Millis) { c.pauses[id] = max(c.pauses[id], until) }
+
+// PrunePauses forgets the pauses that have ended.
+func (c *Controller) PrunePauses(now clock.Millis) {
+	maps.DeleteFunc(c.pauses, func(_ string, until clock.Millis) bool { return until <= now })
+}
+
+// available reports whether a server may get a request that it has not had yet.
+func (c *Controller) available(now clock.Millis, s *server, r Request) bool {
+	return now >= s.blockedUntil && now >= c.pauses[s.entry.ID] && !slices.Contains(r.Tried, s.entry.ID)
+}
+
+// poolPause returns the time until the first server of a pool accepts requests again if all have asked for a pause; 0 if
+// one accepts them now.
+func (c *Controller) poolPause(now clock.Millis, pool []*server) clock.Millis {
+	shortest := clock.Millis(math.MaxInt64)
+	for _, s := range pool {
+		shortest = min(shortest, max(0, c.pauses[s.entry.ID]-now))
+	}
+	return shortest
 }
 
 // Submit decides on a new request. It returns false if the request waits; Poll decides on it later.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,8 +1,10 @@
 // Package roster determines which backend servers may get work, from the platform's server list and from what routers
-// observe: outages of the store that holds the list, and addresses that now belong to another server.
+// observe: outages of the store that holds the list, recoveries of the store from a backup, servers that say that they
+// leave, and addresses that now belong to another server.
 //
 // The entries of servers expire while the store is unavailable. After such an outage the roster therefore retains
-// servers that are missing from the list until they have had time to register again.
+// servers that are missing from the list until they have had time to register again. A list recovered from a backup
+// lacks the latest changes; servers that left in that time get no work again.
 package roster
 
 import (
@@ -46,6 +48,14 @@
 	retainUntil clock.Millis
 	// finalReadRequested is set once the final read before retainUntil was requested.
 	finalReadRequested bool
+	// era is the era of the newest list.
+	era int64
+	// departures holds the servers that are known to leave, whatever the list says, by id.
+	departures map[string]Departure
+	// unlisted holds the servers that are missing from the newest list by id, with their last entry. withheld holds
+	// those that are listed again by a recovered list only; they get no work yet.
+	unlisted map[string]unlisted
+	withheld map[string]unlisted
 	// reassigned holds servers whose address another server has now, with the entry that was wrong.
 	reassigned map[string]laburnumring.ServerEntry
 }
@@ -56,6 +66,9 @@
 		listed:     make(map[string]laburnumring.ServerEntry),
 		retained:   make(map[string]laburnumring.ServerEntry),
 		reassigned: make(map[string]laburnumring.ServerEntry),
+		departures: make(map[string]Departure),
+		unlisted:   make(map[string]unlisted),
+		withheld:   make(map[string]unlisted),
 	}
 }
 
@@ -101,22 +114,27 @@
 	if l.Revision < r.revision {
 		return false
 	}
-	before, retainedBefore := r.all(), len(r.retained)
+	before, retainedBefore, withheldBefore := r.all(), len(r.retained), len(r.withheld)
+	if l.Era > r.era && r.revision > 0 {
+		r.recovered(now, l)
+	}
 	mayHaveExpired := r.currentAt < r.outageEnd && now < r.retainUntil
 	for id, e := range r.listed {
 		if mayHaveExpired && e.State == laburnumring.ServerReady {
 			r.retained[id] = e
 		}
 	}
-	r.listed = make(map[string]laburnumring.ServerEntry, len(l.Entries))
+	listed := make(map[string]laburnumring.ServerEntry, len(l.Entries))
 	for _, e := range l.Entries {
-		r.listed[e.ID] = e
+		listed[e.ID] = e
 		delete(r.retained, e.ID)
 	}
-	r.revision, r.currentAt = l.Revision, max(r.currentAt, at)
+	r.trackUnlisted(now, listed)
+	r.listed = listed
+	r.revision, r.era, r.currentAt = l.Revision, max(r.era, l.Era), max(r.currentAt, at)
 	after := r.all()
 	maps.DeleteFunc(r.reassigned, func(id string, e laburnumring.ServerEntry) bool { return after[id] != e })
-	return !maps.Equal(before, after) || len(r.retained) != retainedBefore
+	return !maps.Equal(before, after) || len(r.retained) != retainedBefore || len(r.withheld) != withheldBefore
 }
 
 // FinalReadDue reports, once, whether it is time to read the list a final time before retained servers are removed.
@@ -128,10 +146,14 @@
 	return true
 }
 
-// Expire removes retained servers that have had time to register again, and reports whether there were any.
+// Expire removes retained servers that have had time to register again, releases withheld servers whose entries should
+// have disappeared by now, and reports whether there were any of either.
 func (r *Roster) Expire(now clock.Millis) bool {
+	n := len(r.withheld)
+	maps.DeleteFunc(r.withheld, func(_ string, u unlisted) bool { return now-u.at >= withholdTime })
+	released := len(r.withheld) < n
 	if len(r.retained) == 0 || now < r.retainUntil || r.outageUntil(now) {
-		return false
+		return released
 	}
 	clear(r.retained)
 	return true
@@ -156,7 +178,9 @@
 func (r *Roster) Servers() []laburnumring.ServerEntry {
 	var out []laburnumring.ServerEntry
 	for id, e := range r.all() {
-		if _, wrong := r.reassigned[id]; !wrong && e.State == laburnumring.ServerReady {
+		_, wrong := r.reassigned[id]
+		_, withheld := r.withheld[id]
+		if !wrong && !withheld && !r.departed(e) && e.State == laburnumring.ServerReady {
 			out = append(out, e)
 		}
 	}
@@ -177,7 +201,7 @@
 func (r *Roster) List() laburnumring.ServerList {
 	entries := slices.Collect(maps.Values(r.listed))
 	sortByID(entries)
-	return laburnumring.ServerList{Revision: r.revision, Entries: entries}
+	return laburnumring.ServerList{Revision: r.revision, Era: r.era, Entries: entries}
 }
 
 func sortByID(entries []laburnumring.ServerEntry) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -29,6 +29,8 @@
 					d.ScanArgs(t, "read", &read)
 				case "revision":
 					d.ScanArgs(t, "revision", &l.Revision)
+				case "era":
+					d.ScanArgs(t, "era", &l.Era)
 				default:
 					if len(a.Vals) > 0 {
 						l.Entries = append(l.Entries, entry(a.Key, a.Vals[0]))
