--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -106,6 +106,30 @@
 	return Usage{CPU: cpu, Resident: resident}, nil
 }
 
+// RunDelays returns how long each thread of the process has waited for a processor since its start, by the name of the
+// thread's directory.
+func (p *Process) RunDelays() (map[string]time.Duration, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	if err != nil {
+		return nil, errorx.Decorate(err, "read run delays of %s", p.name)
+	}
+	out := make(map[string]time.Duration, len(files))
+	for _, file := range files {
+		n, err := readField(file, runDelayField)
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, errorx.Decorate(err, "read run delays of %s", p.name)
+		}
+		out[file] = time.Duration(n)
+	}
+	return out, nil
+}
+
+// runDelayField is the position of the time in the run queue in schedstat, in nanoseconds.
+const runDelayField = 1
+
 // processorTime adds up the time of a process's threads, which the kernel gives in nanoseconds.
 func processorTime(root string) (time.Duration, error) {
 	files, err := filepath.Glob(root + "/task/*/schedstat")
