intake, gossip: Shorten messages and log why a part is read again

Cause: a router's message names each server by its id, carries rates as 64-bit floats (the encoder shortens only what 16 bits hold exactly), teams long after their last request, and whole fingerprints of refusals.

Change: servers by a 32-bit hash of the id, rates up to 65,504 rounded to 16-bit floats, teams from 20 tokens a second on, half a fingerprint. New fields for these, so that routers of earlier versions ignore them and still understand the rest. The line of a send says how many shared tokens are read again and why the primary engine was not chosen.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -176,7 +176,8 @@
 	}
 	r.o.Logger.Log(event.RequestSent, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
-		"queued", d.Basis.Queued, "fresh", d.Basis.Uncached, "running", d.Basis.Running, "served", d.Basis.Served, "recent", d.Basis.Recent,
+		"queued", d.Basis.Queued, "fresh", d.Basis.Uncached, "reread", d.Basis.Reread,
+		"home", d.Basis.Home, "running", d.Basis.Running, "served", d.Basis.Served, "recent", d.Basis.Recent,
 		"share", d.Basis.FairRate, "peer_age_ms", int64(d.Basis.PeerAge), "send", c.attempts+1,
 		"configuration", r.configurationVersion(), "list", revision, "list_age_ms", int64(age), "list_source", source, "kept", retained)
 }
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -161,8 +161,29 @@
 	return out
 }
 
-// minReportedRate is the lowest rate that is reported, in tokens per second.
-const minReportedRate = 1
+const (
+	// minReportedRate is the lowest rate that is reported, in tokens per second. Hundreds of routers that leave out
+	// lower ones leave out less than the smallest requests ask for in a second.
+	minReportedRate = 20
+	// maxShortRate is the largest 16-bit float, and shortRateBits the number of its significant bits.
+	maxShortRate  = 65504
+	shortRateBits = 11
+)
+
+// Rounded returns the rates with those up to maxShortRate rounded to 16-bit floats.
+func (r Rates) Rounded() Rates {
+	return Rates{
+		Demand: roundRate(r.Demand), Served: roundRate(r.Served), Arrived: roundRate(r.Arrived), Recent: roundRate(r.Recent),
+	}
+}
+
+func roundRate(rate float64) float64 {
+	if rate > maxShortRate {
+		return rate
+	}
+	fraction, exponent := math.Frexp(rate)
+	return math.Ldexp(math.Round(math.Ldexp(fraction, shortRateBits)), exponent-shortRateBits)
+}
 
 // Merge replaces the report of a peer.
 func (l *Ledger) Merge(now clock.Millis, peer string, teams map[string]Rates) {
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -233,6 +233,7 @@
 	f := c.forecast(r.Service)
 	preferred := partServers(r, pool)
 	best.score = math.Inf(1)
+	home := homeUnavailable
 	for _, s := range pool {
 		if !c.available(now, s, r) {
 			continue
@@ -241,8 +242,15 @@
 		l := c.load(s)
 		uncached := s.uncachedTokens(now, r, s == preferred[0])
 		own := r.ownTokens()
-		if l.Running >= slotsOf(svc, s) ||
-			svc.KVTokens > 0 && l.Running > 0 && l.Memory+own > int64(maxMemoryFraction*float64(svc.KVTokens)) {
+		full := l.Running >= slotsOf(svc, s) ||
+			svc.KVTokens > 0 && l.Running > 0 && l.Memory+own > int64(maxMemoryFraction*float64(svc.KVTokens))
+		if s == preferred[0] {
+			home = homeSlower
+			if full {
+				home = homeFull
+			}
+		}
+		if full {
 			continue
 		}
 		expected := f.Predict(s.entry.ID, l.Queued+uncached)
@@ -261,12 +269,28 @@
 		if score < best.score {
 			best = choice{s: s, score: score, unqueuedMs: int64(f.Predict(s.entry.ID, uncached)), basis: Basis{
 				Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
+				Reread: max(0, uncached-own),
 			}}
 		}
 	}
+	switch {
+	case preferred[0] == nil:
+	case best.s == preferred[0]:
+		best.basis.Home = homeChosen
+	default:
+		best.basis.Home = home
+	}
 	return best, reachable
 }
 
+// Values of Basis.Home.
+const (
+	homeChosen      = "chosen"
+	homeUnavailable = "unavailable"
+	homeFull        = "full"
+	homeSlower      = "slower"
+)
+
 // slotsOf returns how many requests a server runs at once, as reported by the server or else as configured.
 func slotsOf(svc routing.Service, s *server) int {
 	for _, n := range []int{s.entry.Slots, svc.Slots} {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -77,7 +77,7 @@
 		o: o, ledger: fairshare.New(fairshare.Options{}), usage: account.New(),
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), attempts: make(map[int64]*attempt),
-		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint64]clock.Millis)},
+		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
 		pauses: make(map[string]clock.Millis),
 		peers:  newPeers(),
 	}
@@ -106,7 +106,7 @@
 		listed[e.ID] = true
 		s, ok := c.servers[e.ID]
 		if !ok || s.entry.Born != e.Born || s.entry.Address != e.Address {
-			replacement := &server{cached: make(map[string]clock.Millis)}
+			replacement := &server{key: KeyOf(e.ID), cached: make(map[string]clock.Millis)}
 			if ok {
 				replacement.load = s.load
 			}
@@ -157,7 +157,7 @@
 // Submit decides on a new request. It returns false if the request waits; Poll decides on it later.
 func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
 	r.firstArrived = r.Arrived
-	if at, ok := c.refusals.firstRefused(now, r.Fingerprint); ok {
+	if at, ok := c.refusals.firstRefused(now, uint32(r.Fingerprint)); ok {
 		r.firstArrived = min(at, r.Arrived-1)
 	}
 	if c.isEngine(r.Service) {
@@ -196,7 +196,7 @@
 	c.RecordRefusal(r, d.Refusal.Reason)
 	switch {
 	case d.Refusal.Reason != reasonBusy:
-		c.refusals.record(now, r.Fingerprint)
+		c.refusals.record(now, uint32(r.Fingerprint))
 	case !r.retried():
 		// The caller retries at another router at once, which counts the demand.
 		c.ledger.AddDemand(now, r.Team, -r.tokens())
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -16,7 +16,7 @@
 type peers struct {
 	reports map[string]peerReport
 	// loads sums the reported loads by server, factors the reported capacity factors by service.
-	loads   map[string]Load
+	loads   map[ServerKey]Load
 	factors map[string]factorSum
 }
 
@@ -31,7 +31,7 @@
 
 func newPeers() peers {
 	return peers{
-		reports: make(map[string]peerReport), loads: make(map[string]Load), factors: make(map[string]factorSum),
+		reports: make(map[string]peerReport), loads: make(map[ServerKey]Load), factors: make(map[string]factorSum),
 	}
 }
 
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -10,28 +12,37 @@
 // Report is the state that a router sends to its peers.
 type Report struct {
 	// Servers is the router's load by server, Teams the rates of its teams.
-	Servers map[string]Load            `cbor:"1,keyasint"`
+	Servers map[ServerKey]Load         `cbor:"6,keyasint"`
 	Teams   map[string]fairshare.Rates `cbor:"2,keyasint"`
 	// CapacityFactors holds, by service, the estimated ratio of the engines' throughput to the configured one.
 	CapacityFactors map[string]float64 `cbor:"3,keyasint"`
-	// Refused holds the fingerprints of the requests that the router refused recently.
-	Refused []uint64 `cbor:"4,keyasint"`
+	// Refused holds the lower halves of the fingerprints of the requests that the router refused recently.
+	Refused []uint32 `cbor:"5,keyasint"`
 }
 
+// ServerKey stands for a server in reports. It is shorter than the server's id, of which it is a hash.
+type ServerKey uint32
+
+// KeyOf returns the key of the server with the given id.
+func KeyOf(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
+
 // Report returns the state to send to the peers.
 func (c *Controller) Report(now clock.Millis) Report {
 	out := Report{
-		Servers: make(map[string]Load), Teams: c.ledger.Report(now), CapacityFactors: make(map[string]float64),
+		Servers: make(map[ServerKey]Load), Teams: c.ledger.Report(now), CapacityFactors: make(map[string]float64),
 		Refused: c.refusals.updates(now),
 	}
-	for id, s := range c.servers {
+	for name, rates := range out.Teams {
+		out.Teams[name] = rates.Rounded()
+	}
+	for _, s := range c.servers {
 		if s.load.Running > 0 {
-			out.Servers[id] = s.load
+			out.Servers[s.key] = s.load
 		}
 	}
 	for service, e := range c.capacities {
 		if e.current(now) {
-			out.CapacityFactors[service] = e.factor
+			out.CapacityFactors[service] = float64(float32(e.factor))
 		}
 	}
 	return out
@@ -60,7 +71,7 @@
 }
 
 // load returns the load of all routers on a server.
-func (c *Controller) load(s *server) Load { return s.load.plus(c.peers.loads[s.entry.ID]) }
+func (c *Controller) load(s *server) Load { return s.load.plus(c.peers.loads[s.key]) }
 
 // fairRate returns the max-min fair rate of a service's engines. What a team received while capacity sufficed for all
 // counts against it only up to maxCarryOver.
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -67,6 +67,10 @@
 	Queued   int64
 	Uncached int64
 	Running  int
+	// Reread is the shared prompt tokens among Uncached, and Home says whether the server is the primary one of the
+	// prompt's shared part, or else why that was not chosen; empty without a shared part.
+	Reread int64
+	Home   string
 	// Served and Recent are the team's tokens per second over a longer and a shorter time, FairRate is the fair rate; 0
 	// while capacity suffices for all.
 	Served   int64
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -27,6 +27,8 @@
 // server is a backend server with what this router knows about it.
 type server struct {
 	entry laburnumring.ServerEntry
+	// key is the server's key in reports.
+	key ServerKey
 	// load is the load that this router puts on it.
 	load Load
 	// cached holds the prompt parts that the server has read, with the time of their last use.
