direct, upstream: Skip a late copy that has no id

Cause: a response without an id counted as the response to the request in progress. A server that sends a second copy of an earlier response late, when the connection is in use again, could so answer the next caller.

Ruled out: taking no response without an id (a server that knows no ids answers on new connections).

Change: on a connection that has carried a request before, a response counts only with the request's id.

Seen failing first: TestLateCopy (two of four callers got "earlier").

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -97,7 +97,11 @@
 	resp, err := conn.Exchange(out, func(resp *http.Response) bool {
 		// An invalid header of a response to this request is reported below.
 		reply, _ := r.o.Dialect.Reply(resp.StatusCode, resp.Header)
-		return reply.ID == "" || reply.ID == c.head.ID
+		if reply.ID == "" {
+			// On a reused connection it may be a late copy of an earlier response.
+			return !conn.Reused()
+		}
+		return reply.ID == c.head.ID
 	})
 	if err != nil {
 		return r.connectionLost(ctx, c, d, conn, err)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -102,8 +102,13 @@
 	// idleSince is when the last response ended. idleTimeout is how long after that the connection may be used.
 	idleSince   clock.Millis
 	idleTimeout clock.Millis
+	// reused is set once a response has been received.
+	reused bool
 }
 
+// Reused reports whether the connection carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Get returns a connection to address: the most recently used one that is clean, or a new one. Its errors are of type
 // *DialError.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
@@ -224,6 +229,7 @@
 		c.idleTimeout = max(0, s-idleMargin)
 	}
 	c.idleSince = p.o.Clock.Now()
+	c.reused = true
 	p.push(c)
 }
 
