--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -97,7 +97,11 @@
 	resp, err := conn.Exchange(out, func(resp *http.Response) bool {
 		// An invalid header of a response to this request is reported below.
 		reply, _ := r.o.Dialect.Reply(resp.StatusCode, resp.Header)
-		return reply.ID == "" || reply.ID == c.head.ID
+		if reply.ID == "" {
+			// On a reused connection it may be a late copy of an earlier response.
+			return !conn.Reused()
+		}
+		return reply.ID == c.head.ID
 	})
 	if err != nil {
 		return r.connectionLost(ctx, c, d, conn, err)
@@ -176,7 +180,8 @@
 	}
 	r.o.Logger.Log(event.RequestSent, "id", c.head.ID, "team", c.team, "route", c.route.Name(),
 		"server", d.Server.ID, "waited_ms", int64(now-c.arrived), "expected_ms", d.Basis.Expected,
-		"queued", d.Basis.Queued, "fresh", d.Basis.Uncached, "running", d.Basis.Running, "served", d.Basis.Served, "recent", d.Basis.Recent,
+		"queued", d.Basis.Queued, "fresh", d.Basis.Uncached, "reread", d.Basis.Reread,
+		"home", d.Basis.Home, "running", d.Basis.Running, "served", d.Basis.Served, "recent", d.Basis.Recent,
 		"share", d.Basis.FairRate, "peer_age_ms", int64(d.Basis.PeerAge), "send", c.attempts+1,
 		"configuration", r.configurationVersion(), "list", revision, "list_age_ms", int64(age), "list_source", source, "kept", retained)
 }
