--- a/internal/roster/departure.go
+++ b/internal/roster/departure.go
@@ -130,6 +130,6 @@
 	servers := r.all()
 	maps.DeleteFunc(r.departures, func(id string, d Departure) bool {
 		e, ok := servers[id]
-		return now-d.At > memoryTTL && !(ok && d.of(e))
+		return now-d.At > memoryTTL && (!ok || !d.of(e))
 	})
 }
