intake: Bound the work for waiting requests

Cause: at each poll, every 10 ms and at the end of each request, the router decided anew on all requests that wait, looking at all engines and adding up the whole backlog for each.

Change: a poll decides on 32 requests at most, the first in order and a quarter in turn, and at most once in 10 ms while more wait.

--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -111,7 +111,7 @@
 	if best.s != nil {
 		return c.assign(now, r, best, v), true
 	}
-	if c.waitingCount(r.Service) >= maxWaitingPerServer*len(pool) || now-r.Arrived > (r.Deadline-r.Arrived)/2 {
+	if c.backlog(r.Service).requests >= maxWaitingPerServer*len(pool) || now-r.Arrived > (r.Deadline-r.Arrived)/2 {
 		return refuse(r, "servers_full", r.Goal), true
 	}
 	return Decision{}, false
@@ -173,7 +173,7 @@
 	if redirect {
 		return Decision{Request: r.ID, Refusal: RouterBusyError(), Basis: best.basis}, true
 	}
-	wait := c.queueWait(r, len(pool))
+	wait := c.queueWait(r, v, len(pool))
 	if float64(waited) > maxLateWait*float64(r.Deadline-r.Arrived) || wait > float64(r.Goal) && !team.underserved {
 		return withBasis(refuse(r, reasonEngines, clock.Millis(wait)+r.Goal), best.basis), true
 	}
@@ -351,25 +351,12 @@
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
 
-// waitingCount returns the number of waiting requests to a service.
-func (c *Controller) waitingCount(service string) int {
-	n := 0
-	for _, r := range c.waiting {
-		if r.Service == service {
-			n++
-		}
-	}
-	return n
-}
-
 // queueWait returns the milliseconds that the engines need to read the other prompts that wait here for the same
 // service.
-func (c *Controller) queueWait(r Request, servers int) float64 {
-	tokens := int64(0)
-	for _, w := range c.waiting {
-		if w.Service == r.Service && w.ID != r.ID {
-			tokens += w.ownTokens()
-		}
+func (c *Controller) queueWait(r Request, v *view, servers int) float64 {
+	tokens := c.backlog(r.Service).tokens
+	if v.polling {
+		tokens -= r.ownTokens()
 	}
 	return float64(tokens) * c.forecast(r.Service).Slope() / float64(servers)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -58,6 +58,11 @@
 	// attempts holds the requests at servers by id, waiting those without a server. Poll sorts waiting by priority.
 	attempts map[int64]*attempt
 	waiting  []Request
+	// backlogs sums the waiting requests by service. polls is the number of polls that left some undecided, and lastPoll
+	// the time of the last poll.
+	backlogs map[string]*backlog
+	polls    int
+	lastPoll clock.Millis
 	// refusals holds the recently refused requests, by which retries are recognised.
 	refusals refusalTable
 	// busy is set while the router has too little processor time for further streams.
@@ -78,8 +83,8 @@
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), attempts: make(map[int64]*attempt),
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
-		pauses: make(map[string]clock.Millis),
-		peers:  newPeers(),
+		pauses: make(map[string]clock.Millis), backlogs: make(map[string]*backlog),
+		peers: newPeers(),
 	}
 }
 
@@ -141,12 +146,15 @@
 
 // available reports whether a server may get a request that it has not had yet.
 func (c *Controller) available(now clock.Millis, s *server, r Request) bool {
-	return now >= s.blockedUntil && now >= c.pauses[s.entry.ID] && !slices.Contains(r.Tried, s.entry.ID)
+	return now >= s.blockedUntil && !slices.Contains(r.Tried, s.entry.ID) && (len(c.pauses) == 0 || now >= c.pauses[s.entry.ID])
 }
 
 // poolPause returns the time until the first server of a pool accepts requests again if all have asked for a pause; 0 if
 // one accepts them now.
 func (c *Controller) poolPause(now clock.Millis, pool []*server) clock.Millis {
+	if len(c.pauses) < len(pool) {
+		return 0
+	}
 	shortest := clock.Millis(math.MaxInt64)
 	for _, s := range pool {
 		shortest = min(shortest, max(0, c.pauses[s.entry.ID]-now))
@@ -185,9 +193,43 @@
 		return d, true
 	}
 	c.waiting = append(c.waiting, r)
+	c.backlog(r.Service).add(r, 1)
 	return Decision{}, false
 }
 
+// backlog sums the requests that wait for one service.
+type backlog struct {
+	requests int
+	// tokens is the prompt tokens of their last parts.
+	tokens int64
+}
+
+// add adds a request n times; -1 removes it.
+func (b *backlog) add(r Request, n int) {
+	b.requests += n
+	b.tokens += int64(n) * r.ownTokens()
+}
+
+func (c *Controller) backlog(service string) *backlog {
+	b, ok := c.backlogs[service]
+	if !ok {
+		b = &backlog{}
+		c.backlogs[service] = b
+	}
+	return b
+}
+
+// Limits of the work of Poll. A decision looks at all servers; hundreds of waiting requests that are all decided on at
+// each event would take a small router's whole processor time.
+const (
+	// maxPollDecisions is the number of waiting requests that one poll decides on: the first in order and, for a
+	// quarter, the rest in turn.
+	maxPollDecisions  = 32
+	pollTurnDecisions = maxPollDecisions / 4
+	// minPollInterval is the time between two polls while more requests wait.
+	minPollInterval = 10 * clock.Millis(1)
+)
+
 // handleRefusal records the refusal of a request to an engine in the team's usage and in the table of refusals.
 func (c *Controller) handleRefusal(now clock.Millis, r Request, d Decision) {
 	if d.Refusal == nil || !c.isEngine(r.Service) {
@@ -203,12 +245,15 @@
 	}
 }
 
-// Poll returns the decisions on waiting requests that can be made now.
+// Poll returns the decisions on waiting requests that can be made now. If many wait, it decides on a part of them.
 func (c *Controller) Poll(now clock.Millis) []Decision {
-	if len(c.waiting) == 0 {
+	n := len(c.waiting)
+	if n == 0 || n > maxPollDecisions && now-c.lastPoll < minPollInterval {
 		return nil
 	}
+	c.lastPoll = now
 	v := c.view(now)
+	v.polling = true
 	// Teams with the lowest served rate go first; within a team, the requests that arrived first.
 	slices.SortStableFunc(c.waiting, func(a, b Request) int {
 		switch x, y := v.teams[a.Team].Served, v.teams[b.Team].Served; {
@@ -219,10 +264,17 @@
 		}
 		return int(a.Arrived - b.Arrived)
 	})
+	due := c.pollSelection(n)
 	var out []Decision
+	i := -1
 	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
+		i++
+		if !due(i) {
+			return false
+		}
 		d, ok := c.decide(now, r, v)
 		if ok {
+			c.backlog(r.Service).add(r, -1)
 			c.handleRefusal(now, r, d)
 			out = append(out, d)
 		}
@@ -231,12 +283,29 @@
 	return out
 }
 
+// pollSelection returns which of n waiting requests, by their position, the next poll decides on.
+func (c *Controller) pollSelection(n int) func(i int) bool {
+	first := maxPollDecisions - pollTurnDecisions
+	if n <= maxPollDecisions {
+		return func(int) bool { return true }
+	}
+	rest := n - first
+	start := c.polls * pollTurnDecisions % rest
+	c.polls++
+	return func(i int) bool { return i < first || (i-first-start+rest)%rest < pollTurnDecisions }
+}
+
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int { return len(c.waiting) }
 
 // Withdraw removes a waiting request.
 func (c *Controller) Withdraw(id int64) {
-	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool { return r.ID == id })
+	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
+		if r.ID == id {
+			c.backlog(r.Service).add(r, -1)
+		}
+		return r.ID == id
+	})
 }
 
 // Started records the first event of a stream or the answer to a plain call.
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -64,6 +64,8 @@
 	fairRates map[string]float64
 	// peerAge is the age of the oldest peer report in use.
 	peerAge clock.Millis
+	// polling is set while the decisions are on waiting requests.
+	polling bool
 }
 
 func (c *Controller) view(now clock.Millis) *view {
