intake: Let requests queue at the engine that caches their part

Cause: an engine without a free slot got no request.

Change: up to two requests may wait for a slot at the primary engine of their part. The wait is counted as the time of an answer divided by the slots for each, so that the other engines win where it takes long.

--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -33,6 +33,8 @@
 	// extraCopyMs is how much sooner an engine without the shared parts must start, in milliseconds, however short the
 	// parts are: each additional copy evicts other parts.
 	extraCopyMs = 60.0
+	// maxEngineQueue is how many requests may wait for a free slot in the engine that has cached their shared part.
+	maxEngineQueue = 2
 	// otherPlaceMs is the time added for a server in another data centre, in milliseconds.
 	otherPlaceMs = 2.0
 	// otherPlaceSlots is the load added for a plain server in another data centre, in slots.
@@ -205,7 +207,13 @@
 
 // answerMs returns the expected time to the complete answer, in milliseconds.
 func (ch choice) answerMs(r Request, svc routing.Service) float64 {
-	return float64(ch.basis.Expected) + ch.s.eventGapMs*float64(r.OutputTokens)/float64(max(1, svc.EventTokens))
+	return float64(ch.basis.Expected) + ch.s.answerMs(r, svc)
+}
+
+// answerMs returns the expected time between a request's first token and the end of its answer, in milliseconds; 0 if the
+// engine's speed is not known yet.
+func (s *server) answerMs(r Request, svc routing.Service) float64 {
+	return s.eventGapMs * float64(r.OutputTokens) / float64(max(1, svc.EventTokens))
 }
 
 // delaysNoOther reports whether an engine has so little queued that a request which cannot be on time, because it is
@@ -242,7 +250,11 @@
 		l := c.load(s)
 		uncached := s.uncachedTokens(now, r, s == preferred[0])
 		own := r.ownTokens()
-		full := l.Running >= slotsOf(svc, s) ||
+		slots := slotsOf(svc, s)
+		// queued is the number of requests that the engine has to finish before it can start this one.
+		queued := max(0, l.Running-slots+1)
+		slotMs := s.answerMs(r, svc) / float64(slots)
+		full := queued > 0 && (s != preferred[0] || queued > maxEngineQueue || slotMs == 0) ||
 			svc.KVTokens > 0 && l.Running > 0 && l.Memory+own > int64(maxMemoryFraction*float64(svc.KVTokens))
 		if s == preferred[0] {
 			home = homeSlower
@@ -253,7 +265,7 @@
 		if full {
 			continue
 		}
-		expected := f.Predict(s.entry.ID, l.Queued+uncached)
+		expected := f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
 		score := expected
 		if reread := uncached - own; reread > 0 {
 			penalty := extraCopyPenalty
