--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,8 +6,6 @@
 package intake
 
 import (
-	"maps"
-	"math"
 	"slices"
 
 	"github.com/laburnumring/laburnumring"
@@ -135,33 +133,6 @@
 	return ok && now >= c.pauses[id] && slices.Contains(c.pools[s.entry.Service], s)
 }
 
-// Pause records that a server wants no requests from this router until the given time. Its later incarnations under the
-// same id get none either.
-func (c *Controller) Pause(id string, until clock.Millis) { c.pauses[id] = max(c.pauses[id], until) }
-
-// PrunePauses forgets the pauses that have ended.
-func (c *Controller) PrunePauses(now clock.Millis) {
-	maps.DeleteFunc(c.pauses, func(_ string, until clock.Millis) bool { return until <= now })
-}
-
-// available reports whether a server may get a request that it has not had yet.
-func (c *Controller) available(now clock.Millis, s *server, r Request) bool {
-	return now >= s.blockedUntil && !slices.Contains(r.Tried, s.entry.ID) && (len(c.pauses) == 0 || now >= c.pauses[s.entry.ID])
-}
-
-// poolPause returns the time until the first server of a pool accepts requests again if all have asked for a pause; 0 if
-// one accepts them now.
-func (c *Controller) poolPause(now clock.Millis, pool []*server) clock.Millis {
-	if len(c.pauses) < len(pool) {
-		return 0
-	}
-	shortest := clock.Millis(math.MaxInt64)
-	for _, s := range pool {
-		shortest = min(shortest, max(0, c.pauses[s.entry.ID]-now))
-	}
-	return shortest
-}
-
 // Submit decides on a new request. It returns false if the request waits; Poll decides on it later.
 func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
 	r.firstArrived = r.Arrived
@@ -197,39 +168,6 @@
 	return Decision{}, false
 }
 
-// backlog sums the requests that wait for one service.
-type backlog struct {
-	requests int
-	// tokens is the prompt tokens of their last parts.
-	tokens int64
-}
-
-// add adds a request n times; -1 removes it.
-func (b *backlog) add(r Request, n int) {
-	b.requests += n
-	b.tokens += int64(n) * r.ownTokens()
-}
-
-func (c *Controller) backlog(service string) *backlog {
-	b, ok := c.backlogs[service]
-	if !ok {
-		b = &backlog{}
-		c.backlogs[service] = b
-	}
-	return b
-}
-
-// Limits of the work of Poll. A decision looks at all servers; hundreds of waiting requests that are all decided on at
-// each event would take a small router's whole processor time.
-const (
-	// maxPollDecisions is the number of waiting requests that one poll decides on: the first in order and, for a
-	// quarter, the rest in turn.
-	maxPollDecisions  = 32
-	pollTurnDecisions = maxPollDecisions / 4
-	// minPollInterval is the time between two polls while more requests wait.
-	minPollInterval = 10 * clock.Millis(1)
-)
-
 // handleRefusal records the refusal of a request to an engine in the team's usage and in the table of refusals.
 func (c *Controller) handleRefusal(now clock.Millis, r Request, d Decision) {
 	if d.Refusal == nil || !c.isEngine(r.Service) {
@@ -245,56 +183,6 @@
 	}
 }
 
-// Poll returns the decisions on waiting requests that can be made now. If many wait, it decides on a part of them.
-func (c *Controller) Poll(now clock.Millis) []Decision {
-	n := len(c.waiting)
-	if n == 0 || n > maxPollDecisions && now-c.lastPoll < minPollInterval {
-		return nil
-	}
-	c.lastPoll = now
-	v := c.view(now)
-	v.polling = true
-	// Teams with the lowest served rate go first; within a team, the requests that arrived first.
-	slices.SortStableFunc(c.waiting, func(a, b Request) int {
-		switch x, y := v.teams[a.Team].Served, v.teams[b.Team].Served; {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return int(a.Arrived - b.Arrived)
-	})
-	due := c.pollSelection(n)
-	var out []Decision
-	i := -1
-	c.waiting = slices.DeleteFunc(c.waiting, func(r Request) bool {
-		i++
-		if !due(i) {
-			return false
-		}
-		d, ok := c.decide(now, r, v)
-		if ok {
-			c.backlog(r.Service).add(r, -1)
-			c.handleRefusal(now, r, d)
-			out = append(out, d)
-		}
-		return ok
-	})
-	return out
-}
-
-// pollSelection returns which of n waiting requests, by their position, the next poll decides on.
-func (c *Controller) pollSelection(n int) func(i int) bool {
-	first := maxPollDecisions - pollTurnDecisions
-	if n <= maxPollDecisions {
-		return func(int) bool { return true }
-	}
-	rest := n - first
-	start := c.polls * pollTurnDecisions % rest
-	c.polls++
-	return func(i int) bool { return i < first || (i-first-start+rest)%rest < pollTurnDecisions }
-}
-
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int { return len(c.waiting) }
 
