direct: Log each request that a backend server breaks off

Whether its answer had begun, and the shared parts of its prompt, tell the request that crashed a server from those beside it. No logic changes.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -207,6 +207,7 @@
 // recordStart records that the answer's first bytes have arrived.
 func (r *Router) recordStart(c *call) {
 	now := r.o.Clock.Now()
+	c.begun = true
 	if c.firstByte == 0 {
 		c.firstByte = now
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/laburnumring/laburnumring"
@@ -88,6 +89,7 @@
 	r.logAttempt(now, c, d)
 	out := r.serverRequest(now, c, d)
 	c.attempts++
+	c.begun = false
 	r.metrics.attempts.WithLabelValues(c.service, attemptOrder(c.attempts)).Inc()
 	if c.attempts == 1 {
 		r.mu.Lock()
@@ -231,6 +233,9 @@
 	if ctx.Err() != nil {
 		return attemptEnd{result: intake.Abandoned, err: err}
 	}
+	r.o.Logger.Log(event.RequestBroken, "id", c.head.ID, "server", d.Server.ID, "born", d.Server.Born, "begun", c.begun,
+		"parts", strings.Join(c.sharedParts(), ","), "fingerprint", c.fingerprint, "error", err)
+	r.metrics.broken.WithLabelValues(c.service, strconv.FormatBool(c.begun)).Inc()
 	r.recordDisconnect(c, d)
 	return attemptEnd{result: intake.Failed, err: err}
 }
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -60,6 +60,8 @@
 	// status is the answer's status, 0 before it is known. result is the result in logs and metrics.
 	status int
 	result string
+	// begun is set once the latest attempt has brought a part of the answer.
+	begun bool
 	// firstByte is when the first bytes of the answer arrived; 0 before.
 	firstByte clock.Millis
 	// maxGap is the longest time between two events of a stream.
@@ -293,6 +295,15 @@
 	_, _ = io.WriteString(c.w, reason+"\n")
 }
 
+// sharedParts returns the ids of the prompt's parts that other requests may have too: all but the last.
+func (c *call) sharedParts() []string {
+	var out []string
+	for _, p := range c.head.Parts[:max(0, len(c.head.Parts)-1)] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // confirmedSuspect reports whether the request is known to crash servers, and for how long it will still be refused.
 func (r *Router) confirmedSuspect(now clock.Millis, c *call) (clock.Millis, bool) {
 	r.mu.Lock()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -17,6 +17,8 @@
 	refused   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
+	// broken counts the requests that servers broke off, by whether the caller had a part of the answer.
+	broken *prometheus.CounterVec
 	// tokens counts the tokens of requests to engines by team and by what became of them.
 	tokens   *prometheus.CounterVec
 	waiting  prometheus.Gauge
@@ -47,6 +49,10 @@
 			Name: "laburnumring_direct_sends_total",
 			Help: "Requests sent to backend servers, by service and order.",
 		}, []string{"service", "order"}),
+		broken: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "laburnumring_direct_broken_total",
+			Help: "Requests that backend servers broke off, by service and whether their answer had begun.",
+		}, []string{"service", "begun"}),
 		tokens: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "laburnumring_direct_team_tokens_total",
 			Help: "Tokens of requests to engines, by team and what became of them.",
@@ -70,7 +76,7 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.tokens, m.waiting, m.inbound, m.suspects, m.listAge,
+	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.tokens, m.waiting, m.inbound, m.suspects, m.listAge,
 		m.retained)
 	return m
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -48,6 +48,7 @@
 	RequestEnded            = Event{5007, log.InfoLevel, "request ended"}
 	TeamShare               = Event{5009, log.InfoLevel, "team's tokens"}
 	AttemptFailed           = Event{5008, log.InfoLevel, "backend server failed a request"}
+	RequestBroken           = Event{5010, log.InfoLevel, "backend server broke off a request"}
 	ServerAddressReassigned = Event{4006, log.WarnLevel, "another backend server has the address"}
 	ServerUnreachable       = Event{4007, log.WarnLevel, "backend server unreachable"}
 	ServerLeaves            = Event{4008, log.InfoLevel, "backend server said that it leaves"}
@@ -81,7 +82,7 @@
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerStateReceived,
 		StoreRestored, StoreEraInvalid,
 		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, RouterLoad,
-		RequestSent, RequestNotAdmitted, RequestEnded, AttemptFailed, TeamShare, ServerAddressReassigned, ServerUnreachable,
+		RequestSent, RequestNotAdmitted, RequestEnded, AttemptFailed, RequestBroken, TeamShare, ServerAddressReassigned, ServerUnreachable,
 		ServerLeaves, ReplyHeaderInvalid, ServerPauses,
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerConnectionLost, RouterSessionEnded,
