direct: Treat a stream that ends inside an event as broken off

A caller got 'id: 2 data: pa' and a clean end: a whole answer by all signs, though its server had crashed.

Cause: at the end of the connection the bytes after the last complete event were passed on and the answer counted as whole. For a response with neither a length nor chunks, a crash ends the connection in just that way. The class: the end of a connection taken for the end of an answer.

Change: a stream that ends inside an event is broken off, and so is one without any event that nothing but the end of its connection ends. It is resumed where the route allows that, and otherwise its caller's connection is broken.

Evidence: rules/connection_end failed on its first case before. Elsewhere: plain answers without a length are whole at the end of their connection by the platform's protocol; streams of agents have an end of their own.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -135,7 +136,11 @@
 			return r.connectionLost(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: maxEvent})
 		}
 		if errors.Is(err, io.EOF) {
-			complete = append(complete, c.events.Rest()...)
+			if cut := c.cutStream(d.Server.ID, resp, len(complete)); cut != nil {
+				err = cut
+			} else {
+				complete = append(complete, c.events.Rest()...)
+			}
 		}
 		if len(complete) > 0 || errors.Is(err, io.EOF) {
 			last = r.recordProgress(c, complete, last)
@@ -155,6 +160,28 @@
 	}
 }
 
+// StreamCutError reports that a stream ended with its connection, inside an event or before the first one.
+type StreamCutError struct {
+	Server string
+	// Rest is the number of bytes after the last complete event.
+	Rest int
+}
+
+// Error implements error.
+func (e *StreamCutError) Error() string {
+	return fmt.Sprintf("backend server %s ended its stream %d bytes into an event", e.Server, e.Rest)
+}
+
+// cutStream returns an error if a stream that has ended was cut: inside an event, or, where nothing but the end of the
+// connection marks its end, before the first event. last is the number of bytes of events in the last read.
+func (c *call) cutStream(server string, resp *http.Response, last int) error {
+	rest := len(bytes.TrimSpace(c.events.Rest()))
+	if rest > 0 || upstream.EndsWithConnection(resp) && !c.begun && last == 0 {
+		return &StreamCutError{Server: server, Rest: rest}
+	}
+	return nil
+}
+
 // writeEvents sends events to the caller, preceded by the response's header if the caller has none yet.
 func (c *call) writeEvents(out *http.ResponseController, resp *http.Response, events []byte) error {
 	if !c.committed {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -220,7 +220,7 @@
 // Release keeps the connection for later requests if resp was read to its end and left it clean; otherwise it closes
 // the connection.
 func (p *Pool) Release(c *Conn, resp *http.Response) {
-	if resp.Close || c.br.Buffered() > 0 || unframed(resp) {
+	if resp.Close || c.br.Buffered() > 0 || EndsWithConnection(resp) {
 		_ = c.Close()
 		return
 	}
@@ -233,8 +233,8 @@
 	p.push(c)
 }
 
-// unframed reports whether a response ends only with its connection.
-func unframed(resp *http.Response) bool {
+// EndsWithConnection reports whether nothing but the end of its connection marks a response's end.
+func EndsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
