direct: Do not suspect streams that had begun when their server died

A caller whose long stream met two crashes could not send the same prompt again: it was refused as poison for five minutes.

Cause: every request that a crash ended was suspected, and suspected twice it counted as proved. A request that crashes servers does so when its answer begins; a stream that has begun is a bystander. The class: presence taken for cause.

Change: only requests whose answer had not begun are suspected.

--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -263,7 +263,9 @@
 		r.recordCasualty(now, c, d.Server.ID, d.Server.Born)
 	}
 	recent := slices.DeleteFunc(r.disconnects[address], func(b disconnect) bool { return now-b.at > disconnectWindow })
-	r.disconnects[address] = append(recent, disconnect{fingerprint: c.fingerprint, server: d.Server.ID, at: now})
+	r.disconnects[address] = append(recent, disconnect{
+		fingerprint: c.fingerprint, server: d.Server.ID, begun: c.begun, at: now,
+	})
 	if len(recent) > 0 && now-recent[len(recent)-1].at < checkInterval {
 		return
 	}
@@ -284,11 +286,15 @@
 		if now-b.at > disconnectWindow {
 			continue
 		}
+		r.intake.Unreachable(now, b.server)
+		if b.begun {
+			// A request that crashes servers does so before its answer begins.
+			continue
+		}
 		suspected := r.suspects.Kind(now, b.fingerprint) == suspect.Suspected
 		e := r.suspects.RecordCrash(now, b.fingerprint, suspected)
 		r.o.Logger.Log(event.RequestSuspected, "server", b.server, "fingerprint", b.fingerprint,
 			"confirmed", e.Kind == suspect.Confirmed, "error", err)
-		r.intake.Unreachable(now, b.server)
 	}
 	delete(r.disconnects, address)
 }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -163,7 +163,9 @@
 type disconnect struct {
 	fingerprint uint64
 	server      string
-	at          clock.Millis
+	// begun is set if the answer had begun.
+	begun bool
+	at    clock.Millis
 }
 
 // New returns a router that is idle until Run is called.
