ratelimit, intake: Keep all routers within the limit that a server names

A server in need got up to four times the requests that it said it takes.

Cause: nothing read Server-Limit. The class: a statement of a server about itself that reaches one router and must bind all. Ruled out: placement that draws requests to a limited server; the rate of sends to it did not change when it named its limit.

Change: a response's limit is kept by server until the response to a request that was sent later names none, and told to the peers. Each router has a share by its demand: its own counts with the lowest rate that it reported within the time in which all peers have a report, theirs with the last one, so the shares add up to one at most while demand moves. Under a low limit few routers use the server, so that their bursts stay small. What a limit does not let through is no capacity: neither for the fair rate, nor for the wait that refused callers are told. Requests that no server takes in time are refused at once.

--- a/direct.go
+++ b/direct.go
@@ -60,6 +60,19 @@
 	Leaving bool
 	// Pause is how long the server wants no further request from this router; 0 if it does not ask for a pause.
 	Pause clock.Millis
+	// Limit is what the server says of the rate of requests that it takes.
+	Limit RateLimit
+}
+
+// RateLimit is what a response of a backend server says of the rate of requests that the server takes from all routers
+// together.
+type RateLimit struct {
+	// Known is false if the response says nothing usable about a limit: it is from another server, or its header is not
+	// valid.
+	Known bool
+	// Limited is set if there is a limit; PerSecond is the limit in requests a second, at least 0.
+	Limited   bool
+	PerSecond float64
 }
 
 // Dialect converts between HTTP headers and the router's types. Its methods do not retain the headers.
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -128,14 +128,16 @@
 	return r.forwardBuffered(ctx, c, d, conn, resp)
 }
 
-// observeReply records what a server says of itself in its response: that it leaves, or wants no requests for a while.
+// observeReply records what a server says of itself in its response: that it leaves, wants no requests for a while, or
+// takes only so many a second.
 func (r *Router) observeReply(c *call, d intake.Decision, reply laburnumring.ReplyHeader) {
-	if !reply.Leaving && reply.Pause == 0 {
-		return
-	}
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.intake.ObserveLimit(now, c.sentAt, d.Server.ID, reply.Limit) {
+		r.o.Logger.Log(event.ServerLimitChanged, "server", d.Server.ID, "id", c.head.ID, "limited", reply.Limit.Limited,
+			"per_second", reply.Limit.PerSecond)
+	}
 	if reply.Leaving && r.roster.RecordDeparture(roster.Departure{Server: d.Server.ID, Born: d.Server.Born, Address: d.Server.Address, At: now}) {
 		r.o.Logger.Log(event.ServerLeaves, "server", d.Server.ID, "address", d.Server.Address, "born", d.Server.Born,
 			"id", c.head.ID, "source", "server")
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -175,7 +175,7 @@
 	}
 	r := &Router{
 		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
-		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place}),
+		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place, Name: o.Address.Addr().String()}),
 		suspects:  suspect.New(suspect.Options{}),
 		rotation:  rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
 		retryCaps: make(map[string]*retrycap.Cap), listUpdated: make(chan struct{}),
@@ -309,6 +309,8 @@
 		r.quarantine.Prune(now)
 		r.metrics.quarantined.Set(float64(r.quarantine.Count()))
 		r.intake.PrunePauses(now)
+		r.intake.PruneLimits(now)
+		r.metrics.limited.Set(float64(r.intake.LimitedServers(now)))
 		r.roster.Prune(now)
 		r.metrics.setGauges(r.intake.Waiting(), r.inbound.Load(), r.suspects.SuspectCount())
 		r.metrics.retained.Set(float64(r.roster.RetainedCount()))
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -26,6 +26,8 @@
 	suspects prometheus.Gauge
 	// quarantined is the number of prompt parts whose requests are refused.
 	quarantined prometheus.Gauge
+	// limited is the number of servers that have named a limit.
+	limited prometheus.Gauge
 	// listAge is the age of the list of backend servers at each attempt. retained is the number of servers that are
 	// missing from the list but may still get work.
 	listAge  prometheus.Histogram
@@ -71,6 +73,9 @@
 		quarantined: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_quarantined_parts", Help: "Prompt parts whose requests are refused because they crash servers.",
 		}),
+		limited: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_limited_servers", Help: "Backend servers that take only so many requests a second.",
+		}),
 		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "laburnumring_direct_list_age_seconds",
 			Help:    "Time since the list of backend servers was known to be the newest, at each send.",
@@ -81,7 +86,7 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.tokens, m.waiting, m.inbound, m.suspects, m.quarantined, m.listAge,
+	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.tokens, m.waiting, m.inbound, m.suspects, m.quarantined, m.limited, m.listAge,
 		m.retained)
 	return m
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -295,6 +295,7 @@
 		}
 	}
 	m.Quarantine = m.Quarantine.AddDelay(delay)
+	m.Work = m.Work.WithDelay(delay)
 	return m
 }
 
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -92,10 +92,19 @@
 ) (Decision, bool) {
 	best := choice{score: math.Inf(1)}
 	fastest := minLatency(pool)
+	limitWait, full := noWait, false
 	for _, s := range pool {
 		l := c.load(s)
 		slots := slotsOf(svc, s)
-		if !c.available(now, s, r) || l.Running >= slots+queueSlots {
+		if !c.available(now, s, r) {
+			continue
+		}
+		if wait := c.limitWait(now, s); wait > 0 {
+			limitWait = min(limitWait, wait)
+			continue
+		}
+		if l.Running >= slots+queueSlots {
+			full = true
 			continue
 		}
 		score := float64(l.Running+1) / float64(slots)
@@ -113,6 +122,9 @@
 	if best.s != nil {
 		return c.assign(now, r, best, v), true
 	}
+	if limitWait != noWait && !full {
+		return c.refuseLimited(now, r, pool, limitWait, v)
+	}
 	if c.backlog(r.Service).requests >= maxWaitingPerServer*len(pool) || now-r.Arrived > (r.Deadline-r.Arrived)/2 {
 		return refuse(r, "servers_full", r.Goal), true
 	}
@@ -143,7 +155,7 @@
 		limit *= retriedShare
 	}
 	team := c.standing(now, v, r.Team, fairRate, limit)
-	best, reachable := c.bestEngine(now, r, v, pool, svc)
+	best, reachable, limitWait := c.bestEngine(now, r, v, pool, svc)
 	best.basis.Served, best.basis.Recent = int64(v.teams[r.Team].Served), int64(team.recent)
 	if !math.IsInf(fairRate, 1) {
 		best.basis.FairRate = int64(fairRate)
@@ -175,7 +187,11 @@
 	if redirect {
 		return Decision{Request: r.ID, Refusal: RouterBusyError(), Basis: best.basis}, true
 	}
-	wait := c.queueWait(r, v, len(pool))
+	if limitWait != noWait {
+		d, refused := c.refuseLimited(now, r, pool, limitWait, v)
+		return withBasis(d, best.basis), refused
+	}
+	wait := c.queueWait(r, v, c.queueServers(now, svc, pool))
 	if float64(waited) > maxLateWait*float64(r.Deadline-r.Arrived) || wait > float64(r.Goal) && !team.underserved {
 		return withBasis(refuse(r, reasonEngines, clock.Millis(wait)+r.Goal), best.basis), true
 	}
@@ -233,20 +249,33 @@
 	return d
 }
 
+// noWait means that no server waits for its limit.
+const noWait clock.Millis = math.MaxInt64
+
 // bestEngine returns the engine with the lowest score among those with free slots and memory; reachable reports whether
-// any engine can be tried at all.
+// any engine can be tried at all. limitWait is the shortest time until an engine's limit allows another request if all
+// that can be tried wait for theirs, otherwise noWait.
 func (c *Controller) bestEngine(
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
-) (best choice, reachable bool) {
+) (best choice, reachable bool, limitWait clock.Millis) {
 	f := c.forecast(r.Service)
 	preferred := partServers(r, pool)
 	best.score = math.Inf(1)
 	home := homeUnavailable
+	limitWait, allLimited := noWait, true
 	for _, s := range pool {
 		if !c.available(now, s, r) {
 			continue
 		}
 		reachable = true
+		if wait := c.limitWait(now, s); wait > 0 {
+			limitWait = min(limitWait, wait)
+			if s == preferred[0] {
+				home = homeLimited
+			}
+			continue
+		}
+		allLimited = false
 		l := c.load(s)
 		uncached := s.uncachedTokens(now, r, s == preferred[0])
 		own := r.ownTokens()
@@ -277,7 +306,7 @@
 		if s.entry.Place != c.o.Place {
 			score += otherPlaceMs
 		}
-		score += failurePenalty * s.failureRate * expected
+		score += failurePenalty*s.failureRate*expected + c.limitPenalty(now, s, r)
 		if score < best.score {
 			best = choice{s: s, score: score, unqueuedMs: int64(f.Predict(s.entry.ID, uncached)), basis: Basis{
 				Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
@@ -292,7 +321,10 @@
 	default:
 		best.basis.Home = home
 	}
-	return best, reachable
+	if !allLimited {
+		limitWait = noWait
+	}
+	return best, reachable, limitWait
 }
 
 // Values of Basis.Home.
@@ -300,6 +332,7 @@
 	homeChosen      = "chosen"
 	homeUnavailable = "unavailable"
 	homeFull        = "full"
+	homeLimited     = "limited"
 	homeSlower      = "slower"
 )
 
@@ -350,12 +383,15 @@
 		l.Queued = b.Uncached
 		l.Memory = r.ownTokens() + r.OutputTokens
 		ch.s.markCached(now, r)
+		_, limited := c.limits.Limit(now, uint32(ch.s.key))
+		c.demand(r.Service).observeTokens(float64(r.tokens()), limited)
 		if !r.Committed {
 			c.ledger.AddServed(now, r.Team, r.tokens())
 			c.usage.Team(r.Team).Sent += r.tokens()
 		}
 		v.teams[r.Team] = c.ledger.Total(now, r.Team)
 	}
+	c.limits.Take(now, uint32(ch.s.key))
 	ch.s.load = ch.s.load.plus(l)
 	c.attempts[r.ID] = &attempt{
 		r: r, server: ch.s.entry.ID, load: l, tokensToRead: b.Queued + b.Uncached, unqueuedMs: ch.unqueuedMs, sentAt: now,
@@ -365,12 +401,12 @@
 
 // queueWait returns the milliseconds that the engines need to read the other prompts that wait here for the same
 // service.
-func (c *Controller) queueWait(r Request, v *view, servers int) float64 {
+func (c *Controller) queueWait(r Request, v *view, servers float64) float64 {
 	tokens := c.backlog(r.Service).tokens
 	if v.polling {
 		tokens -= r.ownTokens()
 	}
-	return float64(tokens) * c.forecast(r.Service).Slope() / float64(servers)
+	return float64(tokens) * c.forecast(r.Service).Slope() / servers
 }
 
 // Limits of the time after which requests of a team above its share may be retried.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -12,6 +12,7 @@
 	"github.com/laburnumring/laburnumring/internal/account"
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/forecast"
+	"github.com/laburnumring/laburnumring/internal/ratelimit"
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -20,6 +21,8 @@
 type Options struct {
 	// Place is the data centre of the router; servers in it are slightly preferred.
 	Place string
+	// Name is the router's name in the peers' reports.
+	Name string
 }
 
 // attempt is a request that was sent to a server and has not ended.
@@ -70,6 +73,11 @@
 	timersLate bool
 	// pauses holds the time until which each server wants no requests from this router, by id.
 	pauses map[string]clock.Millis
+	// limits holds the rates of requests that servers take, and demands this router's demand by service.
+	limits  *ratelimit.Table
+	demands map[string]*demand
+	// startedAt is when the first request came.
+	startedAt clock.Millis
 	// peers holds the latest reports of the other routers.
 	peers peers
 }
@@ -82,7 +90,7 @@
 		forecasts: make(map[string]*forecast.Forecast), attempts: make(map[int64]*attempt),
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
 		pauses: make(map[string]clock.Millis), backlogs: make(map[string]*backlog),
-		peers: newPeers(),
+		limits: ratelimit.New(o.Name), demands: make(map[string]*demand), peers: newPeers(),
 	}
 }
 
@@ -116,6 +124,7 @@
 			s = replacement
 			c.servers[e.ID] = s
 			c.forecast(e.Service).Forget(e.ID)
+			c.limits.Forget(uint32(s.key))
 		}
 		s.entry = e
 		c.pools[e.Service] = append(c.pools[e.Service], s)
@@ -135,6 +144,9 @@
 
 // Submit decides on a new request. It returns false if the request waits; Poll decides on it later.
 func (c *Controller) Submit(now clock.Millis, r Request) (Decision, bool) {
+	if c.startedAt == 0 {
+		c.startedAt = now
+	}
 	r.firstArrived = r.Arrived
 	if at, ok := c.refusals.firstRefused(now, uint32(r.Fingerprint)); ok {
 		r.firstArrived = min(at, r.Arrived-1)
@@ -148,7 +160,11 @@
 			c.ledger.AddDemand(now, r.Team, r.tokens())
 		}
 	}
-	return c.decideOrQueue(now, r)
+	d, decided := c.decideOrQueue(now, r)
+	if d.Refusal == nil || d.Refusal.Reason != reasonShare && d.Refusal.Reason != reasonBusy {
+		c.demand(r.Service).count(now)
+	}
+	return d, decided
 }
 
 // Resubmit decides on a request that needs another server after an attempt. It returns false if the request waits.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -22,6 +22,7 @@
 //	servers ID=SERVICE/PLACE/SLOTS...
 //	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N [first=MS]]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
+//	limit SERVER [rate=F] [sent=MS]  a response, to a request sent at MS, names a limit or none
 //	lag MS                    sets the mean lag of the router's timers
 //	busy, free                starts and ends a lack of processor time at the router
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=DEMAND/SERVED[/ARRIVED/RECENT]]... [refused=N] [supply=F]
@@ -101,6 +102,8 @@
 		return out.String()
 	case "busy", "free":
 		p.c.SetBusy(d.Cmd == "busy")
+	case "limit":
+		return p.limit(d)
 	case "lag":
 		p.c.SetLag(clock.Millis(id))
 	case "unreachable":
@@ -125,6 +128,21 @@
 	p.c.SetServers(list)
 }
 
+// limit records what the response of a server says of its limit, and prints whether that changes the limit in force.
+func (p *scriptRunner) limit(d *datadriven.TestData) string {
+	l := laburnumring.RateLimit{Known: true, Limited: d.HasArg("rate")}
+	if l.Limited {
+		var text string
+		d.ScanArgs(p.t, "rate", &text)
+		l.PerSecond, _ = strconv.ParseFloat(text, 64)
+	}
+	sent := int64(p.now)
+	if d.HasArg("sent") {
+		d.ScanArgs(p.t, "sent", &sent)
+	}
+	return fmt.Sprintf("changed %v\n", p.c.ObserveLimit(p.now, clock.Millis(sent), d.CmdArgs[0].Key, l))
+}
+
 func (p *scriptRunner) peer(d *datadriven.TestData) {
 	r := intake.Report{Servers: make(map[intake.ServerKey]intake.Load), Teams: make(map[string]fairshare.Rates)}
 	for _, a := range d.CmdArgs[1:] {
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/laburnumring/laburnumring/internal/fairshare"
+	"github.com/laburnumring/laburnumring/internal/ratelimit"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -18,6 +19,18 @@
 	CapacityFactors map[string]float64 `cbor:"3,keyasint"`
 	// Refused holds the lower halves of the fingerprints of the requests that the router refused recently.
 	Refused []uint32 `cbor:"5,keyasint"`
+	// Limits are the rates of requests that servers have named. Demand is the router's requests a second by service; it is
+	// empty while no limit is known.
+	Limits []ratelimit.Entry  `cbor:"7,keyasint,omitempty"`
+	Demand map[string]float64 `cbor:"8,keyasint,omitempty"`
+	// delay is how long the report was delayed on its way.
+	delay clock.Millis
+}
+
+// WithDelay returns the report with the time for which it was delayed.
+func (r Report) WithDelay(delay clock.Millis) Report {
+	r.delay = delay
+	return r
 }
 
 // ServerKey stands for a server in reports. It is shorter than the server's id, of which it is a hash.
@@ -40,6 +53,12 @@
 			out.Servers[s.key] = s.load
 		}
 	}
+	if c.limits.Len() > 0 {
+		out.Limits, out.Demand = c.limits.Report(now), make(map[string]float64)
+		for service, d := range c.demands {
+			out.Demand[service] = d.report(now, now-c.newsTime())
+		}
+	}
 	for service, e := range c.capacities {
 		if e.current(now) {
 			out.CapacityFactors[service] = float64(float32(e.factor))
@@ -53,6 +72,9 @@
 	for _, f := range r.Refused {
 		c.refusals.add(now, f)
 	}
+	for _, e := range r.Limits {
+		c.limits.Merge(now, r.delay, e)
+	}
 	c.peers.merge(now, peer, r)
 	c.ledger.Merge(now, peer, r.Teams)
 }
@@ -83,7 +105,8 @@
 	}
 	rate := math.Inf(1)
 	if configured := c.table.Limits().TokensPerSecond; configured > 0 {
-		rate = fairshare.FairRate(c.factor(now, service)*configured, v.teams)
+		tokens := c.factor(now, service) * configured
+		rate = fairshare.FairRate(c.usableFraction(now, service, tokens)*tokens, v.teams)
 	}
 	if c.capacity(service).shortage.update(now, !math.IsInf(rate, 1)) {
 		c.ledger.Forgive(now, maxCarryOver*rate, v.teams)
