intake: Count room at limited engines in the capacity estimate

Teams were refused as over their share while three to forty-five hundredths of the limits were used.

Cause: the estimate of the engines' capacity follows the predicted wait at the engine that is chosen. Cheap requests leave limited engines to dear ones and wait elsewhere, so the estimate, and with it the fair rate of all, fell to its minimum with half of the pool idle.

Change: the wait that counts is the least of that at the chosen engine and at the limited engines with room. Nothing changes while no limit is known.

--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -61,6 +61,9 @@
 	// unqueuedMs is the predicted time to the first token with an empty queue, in milliseconds.
 	unqueuedMs int64
 	basis      Basis
+	// leastMs is the least predicted time to the first token, in milliseconds, at this server and at those with a limit
+	// that have room.
+	leastMs float64
 }
 
 // decide sends or refuses a request. It returns false if the request has to wait.
@@ -162,7 +165,7 @@
 	}
 	c.recordBasis(r.Team, best.basis)
 	if best.s != nil && r.Goal > 0 {
-		if fraction, ok := waitFraction(float64(best.basis.Expected), float64(best.unqueuedMs), float64(r.Goal)); ok {
+		if fraction, ok := waitFraction(best.leastMs, float64(best.unqueuedMs), float64(r.Goal)); ok {
 			c.capacity(r.Service).observe(now, fraction, best.answerMs(r, svc)/float64(r.Deadline-r.Arrived),
 				c.peers.meanFactor(r.Service))
 		}
@@ -263,6 +266,7 @@
 	best.score = math.Inf(1)
 	home := homeUnavailable
 	limitWait, allLimited := noWait, true
+	least := math.Inf(1)
 	for _, s := range pool {
 		if !c.available(now, s, r) {
 			continue
@@ -295,6 +299,9 @@
 			continue
 		}
 		expected := f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
+		if c.limited(now, s) {
+			least = min(least, expected)
+		}
 		score := expected
 		if reread := uncached - own; reread > 0 {
 			penalty := extraCopyPenalty
@@ -324,6 +331,7 @@
 	if !allLimited {
 		limitWait = noWait
 	}
+	best.leastMs = min(least, float64(best.basis.Expected))
 	return best, reachable, limitWait
 }
 
@@ -383,8 +391,7 @@
 		l.Queued = b.Uncached
 		l.Memory = r.ownTokens() + r.OutputTokens
 		ch.s.markCached(now, r)
-		_, limited := c.limits.Limit(now, uint32(ch.s.key))
-		c.demand(r.Service).observeTokens(float64(r.tokens()), limited)
+		c.demand(r.Service).observeTokens(float64(r.tokens()), c.limited(now, ch.s))
 		if !r.Committed {
 			c.ledger.AddServed(now, r.Team, r.tokens())
 			c.usage.Team(r.Team).Sent += r.tokens()
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -122,12 +122,18 @@
 	return c.limits.Clear(now, sent, uint32(KeyOf(id)))
 }
 
+// limited reports whether a server has named a limit.
+func (c *Controller) limited(now clock.Millis, s *server) bool {
+	_, ok := c.limits.Limit(now, uint32(s.key))
+	return ok
+}
+
 // LimitedServers returns the number of listed servers with a limit.
 func (c *Controller) LimitedServers(now clock.Millis) int {
 	n := 0
 	for _, pool := range c.pools {
 		for _, s := range pool {
-			if _, ok := c.limits.Limit(now, uint32(s.key)); ok {
+			if c.limited(now, s) {
 				n++
 			}
 		}
@@ -171,7 +177,7 @@
 // limitPenalty returns the time added for an engine with a limit, in milliseconds. A limit counts requests, not tokens,
 // so those that cost less than the mean leave it to dear ones as long as an engine without a limit is on time.
 func (c *Controller) limitPenalty(now clock.Millis, s *server, r Request) float64 {
-	if _, limited := c.limits.Limit(now, uint32(s.key)); !limited || float64(r.tokens()) >= c.demand(r.Service).meanTokens {
+	if !c.limited(now, s) || float64(r.tokens()) >= c.demand(r.Service).meanTokens {
 		return 0
 	}
 	return onTimeFraction * float64(r.Goal)
