quarantine: Count each server once, and spare what a worse part explains

Two false verdicts, each with a script that failed first: a part whose requests one server resets now and then without crashing was quarantined after three of them, and a sound part behind a deadly first one, which needs five crashes, was quarantined after three for the crashes of the latter.

Cause: breaks of one server counted as new crashes after a while, and a part that did not qualify yet explained nothing.

Change: each incarnation of a server counts once. A part with which answers have begun is not quarantined while one that never began an answer is in all of its casualties and has as many crashes.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -68,25 +68,41 @@
 			byPart[p] = append(byPart[p], c)
 		}
 	}
+	all := make(map[uint64]evidence)
 	for p, list := range byPart {
-		if len(list) < minCrashes {
-			continue
+		if len(list) >= minCrashes {
+			all[p] = l.weigh(p, list)
 		}
-		if e := l.weigh(p, list); e.suffices() && (!ok || e.compare(worst) > 0) {
+	}
+	for p, e := range all {
+		if e.suffices() && !explained(e, byPart[p], all) && (!ok || e.compare(worst) > 0) {
 			worst, ok = e, true
 		}
 	}
 	return worst, ok
 }
 
-// weigh counts the crashes that speak against a part. If an answer with the part has ever begun, a crash counts only for
-// a request that was sent after the crash before: servers that fail together break off many requests with a common
-// part.
+// explained reports whether a part with which answers have begun has all its casualties in common with one that never
+// began an answer and has as many crashes, even if these do not suffice yet.
+func explained(e evidence, list []*casualty, all map[uint64]evidence) bool {
+	if !e.begun {
+		return false
+	}
+	return slices.ContainsFunc(list[0].parts, func(p uint64) bool {
+		o, ok := all[p]
+		return ok && !o.begun && o.crashes >= e.crashes &&
+			!slices.ContainsFunc(list, func(c *casualty) bool { return !slices.Contains(c.parts, p) })
+	})
+}
+
+// weigh counts the servers whose crashes speak against a part. A server that lives on may break off many requests, so
+// each incarnation counts once. If an answer with the part has ever begun, a crash counts only for a request that was
+// sent after the crash before: servers that fail together break off many requests with a common part.
 func (l *List) weigh(part uint64, list []*casualty) evidence {
 	start, begun := l.starts[part]
 	e := evidence{part: part, begun: begun}
 	requests := make(map[uint32]bool)
-	lastOf := make(map[uint32]clock.Millis)
+	servers := make(map[uint32]bool)
 	for _, c := range list {
 		if c.broken <= start {
 			continue
@@ -95,11 +111,10 @@
 		e.depth = max(e.depth, depth)
 		e.broad = e.broad || depth < len(c.parts)-1
 		requests[c.request] = true
-		at, known := lastOf[c.server]
-		lastOf[c.server] = c.broken
-		if known && c.broken-at < sameCrash || begun && e.crashes > 0 && c.sent <= e.last {
+		if servers[c.server] || begun && e.crashes > 0 && c.sent <= e.last {
 			continue
 		}
+		servers[c.server] = true
 		if e.crashes == 0 {
 			e.first = c.broken
 		}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -58,8 +58,6 @@
 	minCrashes      = 3
 	minBroadCrashes = 5
 	minRequests     = 2
-	// sameCrash is the time within which broken requests of one server belong to one crash.
-	sameCrash = 1500 * clock.Millis(1)
 	// casualtyTTL is how long evidence is kept after the last crash or refusal.
 	casualtyTTL = 5 * clock.Minute
 	// startTTL is how long the start of an answer is remembered for parts that are not in evidence.
