--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -138,9 +138,11 @@
 	return l.perSecond, true
 }
 
+// NoShare is the wait of a router that has no share of a limit.
+const NoShare clock.Millis = math.MaxInt32
+
 // Wait returns the time until this router may send a request to a server; 0 if it may now. members returns all routers
-// that share the limit, this one included if it may send at all. The time is the longest possible if this router has no
-// share.
+// that share the limit, this one included if it may send at all.
 func (t *Table) Wait(now clock.Millis, server uint32, members func() []Member) clock.Millis {
 	l, ok := t.limits[server]
 	if !ok || !l.active(now) {
@@ -154,7 +156,7 @@
 	case l.tokens >= 1:
 		return 0
 	case l.share <= 0:
-		return math.MaxInt32
+		return NoShare
 	}
 	return clock.Millis(math.Ceil((1 - l.tokens) / l.share * float64(clock.Second)))
 }
