soak: Crash engines by prompt parts and name limits while routers are disturbed

Real routers as processes; one prompt in twelve has a part that crashes engines, servers of both services name limits in turn, and routers are paused, killed, and cut from the store one after the other.

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 .PHONY: bench slopes platform-build platform-soak
 
 # SOAK_FLAGS="--routers 4 --faulty 14s --leaving" or "--lapsing" plays servers that leave while routers are disturbed,
+# "--routers 4 --faulty 12s --crashing" prompt parts that crash engines and servers that name limits,
 # "--routers 2 --faulty 10s --flooding" a team whose router gets little processor time.
 SOAK_FLAGS ?=
 
