direct: Tell teams over their share by status 429

What it was refused for that, and what is refused because servers are missing, had the same status, so its callers could not tell one from the other while three servers were down. The class: two causes behind one answer. Ruled out: a false verdict; both parts were in quarantine and no other.

Change: a refusal because of the team's share has status 429, as the full queue of a team has on the path through agents. The time to come back is as before.

--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -176,7 +176,16 @@
 	if reason == "" {
 		reason = "servers_full"
 	}
-	c.respond(http.StatusServiceUnavailable, reason, after)
+	c.respond(refusalStatus(reason), reason, after)
+}
+
+// refusalStatus returns the status of a refusal. A team above its share is told that it is its own demand, and not a lack
+// of servers.
+func refusalStatus(reason string) int {
+	if reason == intake.ReasonOverShare {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
 }
 
 // expire ends a request whose time is over or whose caller has gone.
--- a/internal/intake/book.go
+++ b/internal/intake/book.go
@@ -26,7 +26,7 @@
 // refusalCause returns the cause under which a refusal with the given reason is counted.
 func refusalCause(reason string) account.Cause {
 	switch reason {
-	case reasonShare:
+	case ReasonOverShare:
 		return account.OverShare
 	case reasonBusy:
 		return account.RouterBusy
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -182,7 +182,7 @@
 		return d, true
 	}
 	if team.overShare && !r.Committed {
-		return withBasis(refuse(r, reasonShare, c.shareWait(v, r, limit)), best.basis), true
+		return withBasis(refuse(r, ReasonOverShare, c.shareWait(v, r, limit)), best.basis), true
 	}
 	if !reachable {
 		return refuse(r, reasonNoServer, clock.Second), true
@@ -213,9 +213,10 @@
 }
 
 const (
-	reasonShare    = "over_share"
-	reasonEngines  = "engines_full"
-	reasonNoServer = "no_server"
+	// ReasonOverShare is the reason of refusals of teams that have received their share.
+	ReasonOverShare = "over_share"
+	reasonEngines   = "engines_full"
+	reasonNoServer  = "no_server"
 	// reasonPaused means that all servers have asked for a pause.
 	reasonPaused = "servers_paused"
 	// reasonBusy is the reason of refusals that apply to this router alone.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -161,7 +161,7 @@
 		}
 	}
 	d, decided := c.decideOrQueue(now, r)
-	if d.Refusal == nil || d.Refusal.Reason != reasonShare && d.Refusal.Reason != reasonBusy {
+	if d.Refusal == nil || d.Refusal.Reason != ReasonOverShare && d.Refusal.Reason != reasonBusy {
 		c.demand(r.Service).count(now)
 	}
 	return d, decided
