intake: Take back the count of room at limited engines

Cause, by those lines only: the estimate rises until the limited engines have no room left, so the fair rate stands above what the engines give, and teams whose requests come to all routers take what one with two routers is owed.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -36,7 +36,8 @@
 		Relayed: &gossip.Ages{
 			Configuration: ageOrUnknown(r.configurationReads.ReceivedAge(now)), Roster: ageOrUnknown(r.listReads.ReceivedAge(now)),
 		},
-		Work: r.intake.Report(now), Suspects: entries, Quarantine: r.quarantine.Report(now), State: r.state(now), Departures: r.departures(now),
+		Work: r.intake.Report(now), Suspects: entries, Quarantine: r.quarantine.Report(now), State: r.state(now),
+		Departures: r.departures(now),
 	}
 }
 
--- a/internal/intake/engine.go
+++ b/internal/intake/engine.go
@@ -29,7 +29,7 @@
 	}
 	c.recordBasis(r.Team, best.basis)
 	if best.s != nil && r.Goal > 0 {
-		if fraction, ok := waitFraction(best.leastMs, float64(best.unqueuedMs), float64(r.Goal)); ok {
+		if fraction, ok := waitFraction(float64(best.basis.Expected), float64(best.unqueuedMs), float64(r.Goal)); ok {
 			c.capacity(r.Service).observe(now, fraction, best.answerMs(r, svc)/float64(r.Deadline-r.Arrived),
 				c.peers.meanFactor(r.Service))
 		}
@@ -107,7 +107,6 @@
 	best.score = math.Inf(1)
 	home := homeUnavailable
 	limitWait, allLimited := noWait, true
-	least := math.Inf(1)
 	for _, s := range pool {
 		if !c.available(now, s, r) {
 			continue
@@ -140,9 +139,6 @@
 			continue
 		}
 		expected := f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
-		if c.limited(now, s) {
-			least = min(least, expected)
-		}
 		score := expected
 		if reread := uncached - own; reread > 0 {
 			penalty := extraCopyPenalty
@@ -172,7 +168,6 @@
 	if !allLimited {
 		limitWait = noWait
 	}
-	best.leastMs = min(least, float64(best.basis.Expected))
 	return best, reachable, limitWait
 }
 
