--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -17,6 +17,8 @@
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/intake"
+	"github.com/laburnumring/laburnumring/internal/quarantine"
+	"github.com/laburnumring/laburnumring/internal/ratelimit"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -50,6 +52,12 @@
 		Work: intake.Report{
 			Servers: map[intake.ServerKey]intake.Load{server: {Running: 3, Queued: 4000, Memory: 90_000}},
 			Teams:   map[string]fairshare.Rates{"ann": {Demand: 1234.5, Served: 7}}, Refused: []uint32{1 << 31},
+			Limits: []ratelimit.Entry{{Server: 1 << 31, PerSecond: 2.8, Named: 10, Cleared: -1}},
+			Demand: map[string]float64{"llm": 3.5},
+		},
+		Quarantine: quarantine.Report{
+			Casualties: []quarantine.Casualty{{Server: 1 << 31, Request: 3, Sent: 30, Broken: 20, Refused: 10, Parts: []uint64{1 << 63}}},
+			Starts:     []quarantine.Start{{Part: 1 << 63, Age: 10}},
 		},
 	}
 	var mu sync.Mutex
@@ -96,6 +104,15 @@
 		m.Suspects[0].Fingerprint != 1<<60 {
 		t.Errorf("received %+v", m)
 	}
+	if e := m.Work.Limits[0]; e.Server != 1<<31 || e.PerSecond != 2.8 || e.Cleared != -1 || m.Work.Demand["llm"] != 3.5 {
+		t.Errorf("received limit %+v and demand %v", e, m.Work.Demand)
+	}
+	casualty := m.Quarantine.Casualties[0]
+	// The ages grow by the time for which the message was delayed.
+	if casualty.Server != 1<<31 || casualty.Request != 3 || casualty.Sent-casualty.Broken != 10 || casualty.Refused < 10 ||
+		casualty.Parts[0] != 1<<63 || m.Quarantine.Starts[0].Part != 1<<63 {
+		t.Errorf("received evidence %+v", m.Quarantine)
+	}
 }
 
 // TestDelayedMessageAges sends two messages that report a newly read list. The second is handled long after it was
