--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -92,7 +92,7 @@
 // must not be used concurrently.
 type List struct {
 	o Options
-	// casualties holds at most maxCasualties; none of them has only parts whose answers began later.
+	// casualties holds at most maxCasualties. Prune removes those with whose parts answers have begun since.
 	casualties map[key]*casualty
 	// starts holds when an answer with a part last began. The parts of casualties stay in it, others for startTTL.
 	starts map[uint64]clock.Millis
