--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -10,8 +10,8 @@
 
 func init() { cases["leaving"] = leaving }
 
-// leaving has the model servers, whose streams have neither a length nor chunks, be replaced one after the other: the new
-// one starts first, then the old one reports that it drains, serves for drainMs and two seconds more, and exits.
+// leaving has half of the model servers, whose streams have neither a length nor chunks, be replaced one after the other:
+// the new one starts first, then the old one reports that it drains, serves for drainMs and two seconds more, and exits.
 func leaving(w *world) (bool, error) {
 	const (
 		events  = 30
@@ -67,7 +67,8 @@
 		}
 	})
 	if w.trouble {
-		for i := range servers {
+		// Half of the servers are replaced.
+		for i := range servers / 2 {
 			if _, err := w.addServer(options(servers + i)); err != nil {
 				return false, err
 			}
