review: Move the servers' heartbeats in case 1

Cause: the case depended on routers that start within 0.3 s.

Change: a heartbeat of the second version's servers falls into the store's absence, and the next comes about a second after it.

--- a/review/stand/versions.go
+++ b/review/stand/versions.go
@@ -15,7 +15,7 @@
 }
 
 // restored has the routers' processes killed at the moment at which the store goes away and comes back from a copy that is
-// six seconds old. Four seconds before, servers of a second software version have come. Clients take up their streams.
+// six seconds old. Some four and a half seconds before, servers of a second software version have come. Clients take up their streams.
 func restored(w *world) (bool, error) {
 	const (
 		events = 30
@@ -103,7 +103,7 @@
 			run(n)
 		})
 	}
-	time.Sleep(2200 * time.Millisecond)
+	time.Sleep(2900 * time.Millisecond)
 	if w.trouble {
 		w.record("the store goes away, and all routers are killed")
 		if only != "kill" {
