--- a/review/stand/flap.go
+++ b/review/stand/flap.go
@@ -91,13 +91,13 @@
 			select {
 			case <-stop:
 				return
-			case <-time.After(220 * time.Millisecond):
+			case <-time.After(160 * time.Millisecond):
 			}
 			wg.Go(func() { run(n) })
 		}
 	})
 	time.Sleep(4 * time.Second)
-	for i := range 10 {
+	for i := range old {
 		began := time.Now()
 		if s := w.servers[i%old]; w.trouble {
 			w.record("server %s crashes", s.o.ID)
--- a/review/stand/leaving.go
+++ b/review/stand/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -10,14 +11,16 @@
 
 func init() { cases["leaving"] = leaving }
 
-// leaving has half of the model servers, whose streams have neither a length nor chunks, be replaced one after the other:
-// the new one starts first, then the old one reports that it drains, serves for drainMs and two seconds more, and exits.
+// leaving has two of the model servers, whose streams have neither a length nor chunks, be replaced one after the other: the
+// new one starts first, then the old one reports that it drains. It crashes while it drains.
 func leaving(w *world) (bool, error) {
 	const (
 		events  = 30
-		servers = 4
+		servers = 6
 		drain   = 2 * time.Second
-		linger  = 2 * time.Second
+		linger  = 8 * time.Second
+		// crashAfter is within drainMs, in which the server goes on serving.
+		crashAfter = time.Second
 	)
 	w.configure(1, []routeOptions{
 		{name: "r-chat", prefix: "/lohu930/", kind: "stream", service: "assistant-llm", attempts: 2, timeout: 15000, goal: 600, resumable: true, sticky: true},
@@ -66,21 +69,34 @@
 			})
 		}
 	})
-	if w.trouble {
-		// Half of the servers are replaced.
-		for i := range servers / 2 {
-			if _, err := w.addServer(options(servers + i)); err != nil {
-				return false, err
+	// Two of the servers are replaced, one after the other. A server that drains has time for all of its streams.
+	for i := range 2 {
+		if _, err := w.addServer(options(servers + i)); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+		old := w.servers[i]
+		w.record("server %s drains", old.o.ID)
+		old.list("draining")
+		if w.trouble {
+			time.Sleep(crashAfter)
+			crashed := old
+			if os.Getenv("LISTED") == "1" {
+				// For comparison, a server crashes that doesn't drain.
+				crashed = w.servers[2+i]
 			}
-			time.Sleep(time.Second)
-			old := w.servers[i]
-			w.record("server %s drains", old.o.ID)
-			old.list("draining")
+			w.record("server %s crashes", crashed.o.ID)
+			crashed.kill()
+			// The platform removes its entry after three heartbeats of silence.
+			time.Sleep(3 * heartbeat)
+			crashed.unlist()
+			time.Sleep(drain + linger - crashAfter - 3*heartbeat)
+		} else {
 			time.Sleep(drain + linger)
-			old.unlist()
-			_ = old.cmd.Process.Signal(syscall.SIGTERM)
-			<-old.ended
 		}
+		old.unlist()
+		_ = old.cmd.Process.Signal(syscall.SIGTERM)
+		<-old.ended
 	}
 	wg.Wait()
 	return w.verdict(short.Load() == 0, "%d streams were whole, %d ended as complete before their last event, %d ended otherwise", whole.Load(), short.Load(), other.Load())
--- a/review/stand/poison.go
+++ b/review/stand/poison.go
@@ -41,6 +41,7 @@
 	poisonIDs := make(map[string]bool)
 	arrived := make(map[string]time.Time)
 	var crashes []time.Time
+	restarts := 0
 	var wg sync.WaitGroup
 	closing := make(chan struct{})
 	w.onServerLine = func(id, line string, at time.Time) {
@@ -65,8 +66,15 @@
 					case <-time.After(back):
 					}
 					<-s.ended
+					// Its start is a new incarnation with a new id. The platform removes the old entry after three heartbeats.
+					old := s.o.ID
+					time.AfterFunc(3*heartbeat-back, func() { w.store.write("keyed.servers", old, nil) })
+					mu.Lock()
+					restarts++
+					s.o.ID = fmt.Sprintf("i-n%02d", restarts)
+					mu.Unlock()
 					if err := s.start(); err != nil {
-						w.record("server %s did not start again: %v", id, err)
+						w.record("server %s did not start again: %v", old, err)
 						return
 					}
 					s.list("ready")
