--- a/internal/direct/lineage.go
+++ b/internal/direct/lineage.go
@@ -134,8 +134,13 @@
 
 func (r *Router) logTakeUp(c *call, source string) {
 	r.metrics.takenUp.WithLabelValues(c.service, source).Inc()
+	r.mu.Lock()
+	recorded, listed := r.lineage.Counts(c.service)
+	era := r.roster.Era()
+	r.mu.Unlock()
 	r.o.Logger.Log(event.StreamTakenUp, "id", c.head.ID, "resumes", c.head.Resumes, "after", c.head.LastEvent,
-		"source", source, "software", c.origin.Software, "waited_ms", int64(r.o.Clock.Now()-c.arrived))
+		"source", source, "software", c.origin.Software, "waited_ms", int64(r.o.Clock.Now()-c.arrived),
+		"recorded", recorded, "listed", listed, "era", era)
 }
 
 func (r *Router) refuseTakeUp(c *call, reason string) *intake.RefusedError {
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -288,6 +288,22 @@
 	return n > 1
 }
 
+// Counts returns how many versions of a service the record and the list had when they were last read.
+func (t *Tracker) Counts(service string) (recorded, listed int) {
+	for v, s := range t.versions {
+		if v.Service != service {
+			continue
+		}
+		if s.recorded {
+			recorded++
+		}
+		if s.listed {
+			listed++
+		}
+	}
+	return recorded, listed
+}
+
 // AnySeveral reports whether Several holds for any service.
 func (t *Tracker) AnySeveral() bool {
 	for v := range t.versions {
