lineage: Keep origins that a message named and that were read from the record

Cause: the routers that record origins for all keep those that messages name for ten seconds, and Learn dropped what it read from the record if it was known. The position in the record had moved on by then, so the origin was never learned again.

Change: an origin that was read from the record counts as such from then on. An origin that a message named is also kept until it is recorded: after ten seconds of failing writes it was dropped unrecorded, on all routers but the one that began the stream.

TestRecordedOriginsAreForgotten plays the orders of Begin, Relayed, Learn, Recorded and Prune: failed within 100 plays before, 20,000 pass now.

--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -37,7 +37,8 @@
 	announceTTL = 2 * clock.Second
 	// delegateTime is how long a stream may wait for room in a message to the routers that record it.
 	delegateTime = 1 * clock.Second
-	// relayedTTL is how long a router that records the streams of others keeps their origins.
+	// relayedTTL is how long a router that has recorded the origin of another one's stream keeps it until it reads the
+	// record.
 	relayedTTL = 10 * clock.Second
 	// maxOrigins limits the origins that are kept, those of this router and those read from the record.
 	maxOrigins = 1 << 16
@@ -144,8 +145,12 @@
 			delete(t.versions, v)
 		}
 	}
-	maps.DeleteFunc(t.origins, func(_ uint64, o origin) bool {
-		return now-o.at >= t.originTTL || o.relayed && now-o.at >= relayedTTL
+	waiting := make(map[uint64]bool, len(t.unrecorded))
+	for _, b := range t.unrecorded {
+		waiting[b.stream] = true
+	}
+	maps.DeleteFunc(t.origins, func(stream uint64, o origin) bool {
+		return now-o.at >= t.originTTL || o.relayed && !waiting[stream] && now-o.at >= relayedTTL
 	})
 	t.unrecorded = slices.DeleteFunc(t.unrecorded, func(b begun) bool {
 		_, ok := t.origins[b.stream]
--- a/internal/lineage/lineage_test.go
+++ b/internal/lineage/lineage_test.go
@@ -219,7 +219,9 @@
 }
 
 const (
-	longestRequest = 10 * clock.Second
+	longestRequest = 15 * clock.Second
+	// writers is the number of routers that record the origins of streams for all.
+	writers = 3
 	// maxCopyAge is the age of the oldest copy from which the platform recovers, and registrationTime the time in which
 	// servers write their entries again after that. settleTime bounds the time for which streams are refused then.
 	maxCopyAge       = 10 * clock.Second
@@ -395,13 +397,16 @@
 			f.begin(n)
 		}
 	case "write":
-		writer := n == f.routers[0]
+		writer := slices.Index(f.routers, n) < writers
 		if origins := n.tracker.Unrecorded(f.now, 100, writer); len(origins) > 0 && !n.cut && f.send(write{origins: origins}) {
 			n.tracker.Recorded(origins)
 		}
 	case "relay":
-		if origins := n.tracker.Relays(3, relayTimes); rapid.IntRange(0, 3).Draw(f.t, "loss") > 0 {
-			f.routers[0].tracker.Relayed(f.now, origins)
+		origins := n.tracker.Relays(3, relayTimes)
+		for _, w := range f.routers[:min(writers, len(f.routers))] {
+			if w != n && rapid.IntRange(0, 3).Draw(f.t, "loss") > 0 {
+				w.tracker.Relayed(f.now, origins)
+			}
 		}
 	case "kill":
 		f.start(rapid.IntRange(0, len(f.routers)-1).Draw(f.t, "killed"))
@@ -482,7 +487,7 @@
 func TestStreamsAreNotJoined(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, now: 1000, listed: map[string]bool{"v1": true}, seen: map[string]bool{"v1": true}, recorded: make(map[string]bool)}
-		f.routers = make([]*node, rapid.IntRange(1, 4).Draw(t, "routers"))
+		f.routers = make([]*node, rapid.IntRange(1, 5).Draw(t, "routers"))
 		for i := range f.routers {
 			f.start(i)
 		}
--- a/internal/lineage/origins.go
+++ b/internal/lineage/origins.go
@@ -13,7 +13,8 @@
 	at clock.Millis
 	// own is set if the stream began at this router.
 	own bool
-	// relayed is set if a peer's message named it. It is kept until no more messages do.
+	// relayed is set if a peer's message named it, and it was not read from the record since. It is kept until it is
+	// recorded and no more messages name it.
 	relayed bool
 }
 
@@ -67,9 +68,13 @@
 	}
 }
 
-// Learn adds origins that were read from the record.
+// Learn adds origins that were read from the record. They are not read again, so one that a message has named is kept
+// like the others from now on.
 func (t *Tracker) Learn(now clock.Millis, origins []laburnumring.StreamOrigin) {
 	for _, o := range origins {
+		if known, ok := t.origins[o.Stream]; ok && known.relayed {
+			delete(t.origins, o.Stream)
+		}
 		t.add(o.Stream, origin{StreamOrigin: o, at: now})
 	}
 }
