direct, upstream: Do not pass on the unmarked end of a crashed server that was leaving

Cause, first part: checkEnd found that the server refused connections, and passed the end on nevertheless if the list did not name it as ready, since a server that leaves is gone after its last answers. Its crash ends its connections in the same way. The kernel releases the files of a process that ends one after the other, here its connections up to 7 ms before its listener, so a connection could still be made. Ruled out: a check that timed out (none took 200 ms) and the go-on at the second server (all streams with a line 5010 are whole).

Change: where another server can continue or repeat the answer, it is asked: it gives the rest, or nothing more if the stream was whole. A stream that goes on may therefore end before its first event. Elsewhere the server counts as crashed within its drain time. The check lasts 50 ms, also where crashes are attributed to requests. A check that takes too long tells nothing, and counts as no sign of life where another server can be asked.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -128,7 +128,7 @@
 		Retry: retrycap.Options{
 			Window: s.RetryWindow, Ratio: retryRatioFraction * s.RetryRatio, Burst: s.RetryBurst,
 		},
-		FirstStart: s.FirstStart, Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
+		FirstStart: s.FirstStart, DrainTime: s.DrainTime, Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
 		MaxBufferedBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 	})
 }
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -187,10 +187,11 @@
 }
 
 // cutStream returns an error if a stream that has ended was cut: inside an event, or, where nothing but the end of the
-// connection marks its end, before the first event. last is the number of bytes of events in the last read.
+// connection marks its end, before the first event. A stream that goes on may have no further events. last is the number
+// of bytes of events in the last read.
 func (c *call) cutStream(server string, resp *http.Response, last int) error {
 	rest := len(bytes.TrimSpace(c.events.Rest()))
-	if rest > 0 || upstream.EndsWithConnection(resp) && !c.begun && last == 0 {
+	if rest > 0 || upstream.EndsWithConnection(resp) && !c.begun && last == 0 && c.lastEvent() == "" {
 		return &StreamCutError{Server: server, Rest: rest}
 	}
 	return nil
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,8 @@
 	MaxBufferedBytes int64
 	// Capacity is the router's processor time in thousandths of a core; 0 if it is not known.
 	Capacity int
+	// DrainTime is how long a server that leaves accepts requests after its entry says so; two seconds if zero.
+	DrainTime time.Duration
 	// Grace is the time from the request to stop until the process must have exited.
 	Grace time.Duration
 	// Logger writes events.
@@ -100,6 +103,10 @@
 	pruneInterval = 1 * time.Second
 	// retryPause is the pause after a failed call to the platform.
 	retryPause = 250 * time.Millisecond
+	// defaultDrainTime is the default of Options.DrainTime. unreadyTTL is how long a server that left is remembered, which
+	// is longer than its last answers take.
+	defaultDrainTime = 2 * time.Second
+	unreadyTTL       = 2 * clock.Minute
 )
 
 // Router is the router of one process.
@@ -164,6 +171,8 @@
 	// reported that change.
 	readyServers []laburnumring.ServerEntry
 	listSource   string
+	// unreadyAt is when servers were last found not to get work any more, by id.
+	unreadyAt map[string]clock.Millis
 	// listReads and configurationReads divide the reads among the routers.
 	listReads          *readshare.Schedule
 	configurationReads *readshare.Schedule
@@ -182,6 +191,9 @@
 
 // New returns a router that is idle until Run is called.
 func New(o Options) *Router {
+	if o.DrainTime == 0 {
+		o.DrainTime = defaultDrainTime
+	}
 	if o.Summaries == nil {
 		o.Summaries = o.Logger
 	}
@@ -193,7 +205,8 @@
 		suspects:  suspect.New(suspect.Options{}),
 		rotation:  rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
 		retryCaps: make(map[string]*retrycap.Cap), listUpdated: make(chan struct{}),
-		pending: make(map[int64]*call), disconnects: make(map[string][]disconnect),
+		unreadyAt: make(map[string]clock.Millis),
+		pending:   make(map[int64]*call), disconnects: make(map[string][]disconnect),
 		listReads: readshare.New(readshare.Options{
 			Readers: listReaders, Interval: listInterval, Retry: listRetryInterval, MaxAge: maxListAge, Stagger: readStagger,
 		}),
@@ -329,6 +342,7 @@
 		r.intake.PruneLimits(now)
 		r.metrics.limited.Set(float64(r.intake.LimitedServers(now)))
 		r.roster.Prune(now)
+		maps.DeleteFunc(r.unreadyAt, func(_ string, at clock.Millis) bool { return now-at > unreadyTTL })
 		r.metrics.setGauges(r.intake.Waiting(), r.inbound.Load(), r.suspects.SuspectCount())
 		r.metrics.retained.Set(float64(r.roster.RetainedCount()))
 		for address, list := range r.disconnects {
--- a/internal/direct/end.go
+++ b/internal/direct/end.go
@@ -12,6 +12,7 @@
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/upstream"
+	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
 // endCheckTimeout limits the check whether a server is still there. A server that crashed refuses connections at once.
@@ -38,7 +39,8 @@
 
 // checkEnd returns an error if an answer that has been read to its end must not be passed on as complete. An answer
 // without a length or chunks ends with its connection, and so does one whose server crashes: the end is passed on in the
-// same way, unless the server is gone or the answer to the caller marks its end.
+// same way, unless the server is gone or the answer to the caller marks its end. A server that leaves is gone after its
+// last answers too. If another one can tell whether such an answer was whole, it is asked.
 func (r *Router) checkEnd(ctx context.Context, c *call, d intake.Decision, resp *http.Response) error {
 	if !upstream.EndsWithConnection(resp) {
 		return nil
@@ -48,18 +50,31 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	err := r.pool.Check(ctx, d.Server.Address)
-	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+	err := r.pool.CheckAlive(ctx, d.Server.Address)
+	if err == nil {
 		return nil
 	}
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ready := slices.ContainsFunc(r.readyServers, func(e laburnumring.ServerEntry) bool {
-		return e.ID == d.Server.ID && e.Born == d.Server.Born
-	})
-	if !ready {
-		// A server that leaves is gone after its last answers.
+	// A check that takes too long tells nothing.
+	if (!refused || r.mayHaveStopped(d.Server)) && !c.repeatable() {
 		return nil
 	}
 	return &UnmarkedEndError{Server: d.Server.ID, Err: err}
 }
+
+// mayHaveStopped reports whether a server that refuses connections may have left rather than crashed: it stops listening
+// some time after it was known to leave, and its last answers may end after that. The caller holds mu.
+func (r *Router) mayHaveStopped(e laburnumring.ServerEntry) bool {
+	if slices.ContainsFunc(r.readyServers, func(l laburnumring.ServerEntry) bool { return l.ID == e.ID && l.Born == e.Born }) {
+		return false
+	}
+	at, ok := r.unreadyAt[e.ID]
+	return ok && r.o.Clock.Now()-at >= clock.FromDuration(r.o.DrainTime)
+}
+
+// repeatable reports whether another server can complete the caller's answer.
+func (c *call) repeatable() bool {
+	return c.route.Resumable() || c.route.MayRepeat() && c.attempts < c.route.Attempts()
+}
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -148,6 +148,12 @@
 	ready := r.roster.Servers()
 	added, removed := difference(r.readyServers, ready)
 	r.readyServers, r.listSource = ready, source
+	for _, id := range added {
+		delete(r.unreadyAt, id)
+	}
+	for _, id := range removed {
+		r.unreadyAt[id] = r.o.Clock.Now()
+	}
 	r.intake.SetServers(ready)
 	r.lineage.SetList(r.o.Clock.Now(), r.roster.Known())
 	r.intake.SetAdmitted(r.lineage.Admitted(r.o.Clock.Now()))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,6 +16,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
+	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -60,6 +61,8 @@
 	maxForeignResponses = 2
 	maxDrainBytes       = 64 << 10
 	maxDrainTime        = 100 * time.Millisecond
+	// exitTime is how long the end of a process may take to close its connections and its listener.
+	exitTime = 50 * time.Millisecond
 	// maxHead limits a response's head together with the interim responses before it, in bytes.
 	maxHead = 64 << 10
 )
@@ -140,6 +143,23 @@
 	return nil
 }
 
+// CheckAlive makes a connection to the address of a server that has just ended a connection, and keeps it for the next
+// request. A process that ends closes its connections some time before its listener, so the connection must also last
+// for a while, or another one be possible after that.
+func (p *Pool) CheckAlive(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	interval.Sleep(ctx, exitTime)
+	if peek.Check(c.Conn) == peek.Idle {
+		p.Return(c)
+		return nil
+	}
+	_ = c.Close()
+	return p.Check(ctx, address)
+}
+
 // Return puts a connection back into the pool on which nothing has been sent since Get. Its idle time is not reset.
 func (p *Pool) Return(c *Conn) {
 	if c.idleSince == 0 {
