lineage, direct: Verify the origins of streams by a later entry of their server

Cause: an origin names the start of its server. If the server has started again, the entry that placed the stream may have been out of date, so Contradicts refused it, whatever the entries said meanwhile. Ruled out: the record (the origins are found, source=record or own) and the choice of a server (three servers of the version serve).

An entry with the same start that was read after the server's first answer on the connection shows that the version was right. Such an origin is verified and no longer names the server. Most are verified at the first event; the others with the next list, and recorded once more. A list that may have gone back verifies nothing.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -153,7 +153,7 @@
 			}
 		}
 		if len(complete) > 0 || errors.Is(err, io.EOF) {
-			r.recordOrigin(c, d, complete)
+			r.recordOrigin(c, d, conn, complete)
 			last = r.recordProgress(c, complete, last)
 			if werr := c.writeEvents(out, resp, complete); werr != nil {
 				_ = conn.Close()
@@ -239,14 +239,24 @@
 }
 
 // recordOrigin records which server begins the caller's stream, before the caller gets its first events.
-func (r *Router) recordOrigin(c *call, d intake.Decision, events []byte) {
+func (r *Router) recordOrigin(c *call, d intake.Decision, conn *upstream.Conn, events []byte) {
 	if len(events) == 0 || c.origin.Software != 0 || !c.route.Resumable() {
 		return
 	}
 	c.origin = laburnumring.NewStreamOrigin(c.head.ID, d.Server)
+	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lineage.Begin(r.o.Clock.Now(), c.origin, d.Server.Service)
+	r.lineage.Begin(now, c.origin, d.Server.Service)
+	// The process at the other end has not changed since it answered first on the connection.
+	r.lineage.VerifyLater(conn.AnsweredAt(), c.origin.Stream, d.Server)
+	r.verifyOrigins(now)
+}
+
+// verifyOrigins verifies the origins of streams by the newest list. The caller holds mu.
+func (r *Router) verifyOrigins(now clock.Millis) {
+	r.lineage.ListRead(r.listReads.NewestAt())
+	r.lineage.Verify(now, r.roster.Entry)
 }
 
 // recordProgress records events of a stream. last is when the events before them arrived, 0 for the first. It returns
--- a/internal/direct/lineage.go
+++ b/internal/direct/lineage.go
@@ -68,7 +68,12 @@
 	default:
 		return r.refuseTakeUp(c, reasonVersionUnknown)
 	}
-	if refusal := r.confirmOrigin(ctx, c, now); refusal != nil {
+	refusal := r.confirmOrigin(ctx, c, now)
+	if refusal != nil && refusal.Reason == reasonVersionUnknown && source == "own" && r.awaitRecord(ctx, now) {
+		// The record may have the origin as verified since this router learned it.
+		refusal = r.confirmOrigin(ctx, c, now)
+	}
+	if refusal != nil {
 		return refusal
 	}
 	if resolution == lineage.Only && r.severalVersions(c.service) {
@@ -93,9 +98,9 @@
 }
 
 // confirmOrigin returns a refusal if the list, read after the given time, shows that the request's stream may be of
-// another version than its origin says, as its server has started again under its id while several versions serve. An
-// entry may be older than the server that it names, so the list is read again before each stream goes on, as far as it
-// can be.
+// another version than its origin says, as its server has started again under its id while several versions serve, and
+// the origin is not verified. An entry may be older than the server that it names, so the list is read again before each
+// stream goes on, as far as it can be.
 func (r *Router) confirmOrigin(ctx context.Context, c *call, since clock.Millis) *intake.RefusedError {
 	wait := maxConfirmWait
 	if r.severalVersions(c.service) {
@@ -110,6 +115,9 @@
 	if !read {
 		return r.refuseTakeUp(c, reasonRecordUnreadable)
 	}
+	if o, ok := r.lineage.Origin(c.origin.Stream); ok && o.Software == c.origin.Software {
+		c.origin = o
+	}
 	if slices.ContainsFunc(r.roster.Known(), c.origin.Contradicts) {
 		return r.refuseTakeUp(c, reasonVersionUnknown)
 	}
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -101,8 +101,9 @@
 	}
 }
 
-// notifyListUpdated wakes the requests that wait for the list. The caller holds mu.
+// notifyListUpdated verifies the origins of streams and wakes the requests that wait for the list. The caller holds mu.
 func (r *Router) notifyListUpdated() {
+	r.verifyOrigins(r.o.Clock.Now())
 	close(r.listUpdated)
 	r.listUpdated = make(chan struct{})
 }
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -65,6 +65,8 @@
 	origins  map[uint64]origin
 	// unrecorded holds the streams whose origins are not recorded, as far as this router knows, the oldest first.
 	unrecorded []begun
+	// unverified holds the streams begun here whose origins are not verified yet.
+	unverified []unverified
 	// forgetTime is how long a version must be missing from the list until it is removed from the record.
 	forgetTime clock.Millis
 	// originTTL is how long the origin of a stream is kept.
@@ -156,6 +158,10 @@
 		_, ok := t.origins[b.stream]
 		return !ok
 	})
+	t.unverified = slices.DeleteFunc(t.unverified, func(u unverified) bool {
+		_, ok := t.origins[u.stream]
+		return !ok
+	})
 }
 
 // Admitted returns the keys of the versions that may begin streams.
--- a/internal/lineage/lineage_test.go
+++ b/internal/lineage/lineage_test.go
@@ -39,6 +39,8 @@
 //	learn STREAM V            the record has the origin of a stream
 //	relayed STREAM V          a peer's message names the origin of a stream
 //	relay N                   prints at most N origins for a message, each in two of them
+//	later STREAM V            the server that began a stream has to be looked up in the next list
+//	verify V...               the list is read: the servers of these versions are as they were, others have started again
 //	written [other]           the origins that a router which records for others, or another one, has to record are
 //	resolve STREAM [read]     a caller takes up a stream; "-" names none
 //
@@ -98,6 +100,18 @@
 				tr.Learn(now, []laburnumring.StreamOrigin{origin()})
 			case "relayed":
 				tr.Relayed(now, []laburnumring.StreamOrigin{origin()})
+			case "later":
+				tr.VerifyLater(now, laburnumring.StreamKey(args[0]), entries(args[1:2])[0])
+			case "verify":
+				tr.ListRead(now)
+				tr.Verify(now, func(id string) (laburnumring.ServerEntry, bool) {
+					for _, e := range entries(args) {
+						if e.ID == id {
+							return e, true
+						}
+					}
+					return laburnumring.ServerEntry{ID: id, Service: "llm", Version: "v1", Born: 1}, true
+				})
 			case "relay":
 				var n int
 				_, _ = fmt.Sscan(args[0], &n)
@@ -106,7 +120,11 @@
 				tr.Recorded(tr.Unrecorded(now, 100, len(args) == 0))
 			case "resolve":
 				o, r := tr.Resolve("llm", laburnumring.StreamKey(args[0]), args[0] != "-", len(args) > 1)
-				return fmt.Sprintf("%s %s\n", []string{"", "known", "only", "unknown", "unread", "unsettled"}[r], name(o.Software))
+				verified := ""
+				if r == lineage.Known && o.IsVerified() {
+					verified = ", verified"
+				}
+				return fmt.Sprintf("%s %s%s\n", []string{"", "known", "only", "unknown", "unread", "unsettled"}[r], name(o.Software), verified)
 			default:
 				d.Fatalf(t, "unknown command %s", d.Cmd)
 			}
--- a/internal/lineage/origins.go
+++ b/internal/lineage/origins.go
@@ -18,6 +18,13 @@
 	relayed bool
 }
 
+// unverified is a stream that began here, and the entry of its server as it was then.
+type unverified struct {
+	stream uint64
+	entry  laburnumring.ServerEntry
+	at     clock.Millis
+}
+
 // begun is a stream whose origin is not recorded yet.
 type begun struct {
 	stream uint64
@@ -37,15 +44,72 @@
 	}
 }
 
-// add adds the origin of a stream and reports whether it was not known.
+// add adds the origin of a stream, or that it is verified, and reports whether either was not known.
 func (t *Tracker) add(stream uint64, o origin) bool {
-	if _, ok := t.origins[stream]; ok || len(t.origins) >= maxOrigins {
+	if known, ok := t.origins[stream]; ok {
+		return t.verify(stream, known, o)
+	}
+	if len(t.origins) >= maxOrigins {
 		return false
 	}
 	t.origins[stream] = o
 	return true
 }
 
+// verify records that the known origin of a stream is verified, if o is, and reports whether it was not.
+func (t *Tracker) verify(stream uint64, known, o origin) bool {
+	if known.IsVerified() || !o.IsVerified() || known.Software != o.Software {
+		return false
+	}
+	known.StreamOrigin = o.StreamOrigin
+	t.origins[stream] = known
+	return true
+}
+
+// Origin returns the origin of a stream as far as it is known.
+func (t *Tracker) Origin(stream uint64) (laburnumring.StreamOrigin, bool) {
+	o, ok := t.origins[stream]
+	return o.StreamOrigin, ok
+}
+
+// VerifyLater records that the origin of a stream that begins here is to be verified by the entry of its server, when
+// the list is read next.
+func (t *Tracker) VerifyLater(now clock.Millis, stream uint64, e laburnumring.ServerEntry) {
+	t.unverified = append(t.unverified, unverified{stream: stream, entry: e, at: now})
+}
+
+// Verify verifies the origins of streams that began here before the list was read. entry returns a server's entry in that
+// list. A server writes its entry before it takes requests, so an entry that is still the same names the version which
+// began the stream. That does not hold for a list that may have gone back.
+func (t *Tracker) Verify(now clock.Millis, entry func(id string) (laburnumring.ServerEntry, bool)) {
+	if len(t.unverified) == 0 || !t.Settled() {
+		return
+	}
+	t.unverified = slices.DeleteFunc(t.unverified, func(u unverified) bool {
+		if u.at >= t.listAt {
+			return false
+		}
+		known, ok := t.origins[u.stream]
+		e, listed := entry(u.entry.ID)
+		if !ok || !listed || e.Born != u.entry.Born || e.Software() != u.entry.Software() {
+			return true
+		}
+		if t.verify(u.stream, known, origin{StreamOrigin: known.Verified()}) {
+			t.recordAgain(now, u.stream, e.Service)
+		}
+		return true
+	})
+}
+
+// recordAgain makes peers record the origin of a stream that began here once more.
+func (t *Tracker) recordAgain(now clock.Millis, stream uint64, service string) {
+	if i := slices.IndexFunc(t.unrecorded, func(b begun) bool { return b.stream == stream }); i >= 0 {
+		t.unrecorded[i].relays, t.unrecorded[i].at = 0, now
+		return
+	}
+	t.unrecorded = append(t.unrecorded, begun{stream: stream, service: service, delegable: t.Several(service), at: now})
+}
+
 // Relays returns at most n origins of streams begun here that a message to the peers should name, the newest first. A
 // stream is named in the given number of messages.
 func (t *Tracker) Relays(n, times int) []laburnumring.StreamOrigin {
@@ -62,18 +126,24 @@
 // Relayed records the origins that a peer's message names, which this router has to record.
 func (t *Tracker) Relayed(now clock.Millis, origins []laburnumring.StreamOrigin) {
 	for _, o := range origins {
-		if t.add(o.Stream, origin{StreamOrigin: o, at: now, relayed: true}) {
+		if t.add(o.Stream, origin{StreamOrigin: o, at: now, relayed: true}) && !t.waits(o.Stream) {
 			t.unrecorded = append(t.unrecorded, begun{stream: o.Stream, at: now})
 		}
 	}
 }
 
+// waits reports whether the origin of a stream is to be recorded.
+func (t *Tracker) waits(stream uint64) bool {
+	return slices.ContainsFunc(t.unrecorded, func(b begun) bool { return b.stream == stream })
+}
+
 // Learn adds origins that were read from the record. They are not read again, so one that a message has named is kept
 // like the others from now on.
 func (t *Tracker) Learn(now clock.Millis, origins []laburnumring.StreamOrigin) {
 	for _, o := range origins {
 		if known, ok := t.origins[o.Stream]; ok && known.relayed {
-			delete(t.origins, o.Stream)
+			known.relayed, known.at = false, now
+			t.origins[o.Stream] = known
 		}
 		t.add(o.Stream, origin{StreamOrigin: o, at: now})
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -191,6 +191,12 @@
 // Known returns the listed and the retained servers, whatever their state, in no particular order.
 func (r *Roster) Known() []laburnumring.ServerEntry { return slices.Collect(maps.Values(r.all())) }
 
+// Entry returns a server's entry in the newest list.
+func (r *Roster) Entry(id string) (laburnumring.ServerEntry, bool) {
+	e, ok := r.listed[id]
+	return e, ok
+}
+
 // Retained reports whether a server may get work although it is missing from the newest list.
 func (r *Roster) Retained(id string) bool {
 	_, ok := r.retained[id]
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -107,13 +107,18 @@
 	idleTimeout clock.Millis
 	// reused is set once a response has been received.
 	reused bool
-	// dialedAt is when the connection was made.
-	dialedAt clock.Millis
+	// dialedAt is when the connection was made, and answeredAt when the first response arrived on it; 0 before.
+	dialedAt   clock.Millis
+	answeredAt clock.Millis
+	clock      laburnumring.Clock
 }
 
 // DialedAt returns when the connection was made.
 func (c *Conn) DialedAt() clock.Millis { return c.dialedAt }
 
+// AnsweredAt returns when the first response arrived on the connection; 0 before.
+func (c *Conn) AnsweredAt() clock.Millis { return c.answeredAt }
+
 // Reused reports whether the connection carried a request before.
 func (c *Conn) Reused() bool { return c.reused }
 
@@ -176,7 +181,7 @@
 	h := &headReader{r: nc, remaining: unlimited, address: address}
 	return &Conn{
 		Conn: nc, address: address, br: bufio.NewReaderSize(h, readBuffer), head: h, idleTimeout: p.o.IdleTimeout,
-		dialedAt: p.o.Clock.Now(),
+		dialedAt: p.o.Clock.Now(), clock: p.o.Clock,
 	}, nil
 }
 
@@ -305,6 +310,9 @@
 			return nil, err
 		}
 		if matches(resp) {
+			if c.answeredAt == 0 {
+				c.answeredAt = c.clock.Now()
+			}
 			return resp, nil
 		}
 		if !drain(resp) {
--- a/lineage.go
+++ b/lineage.go
@@ -22,7 +22,8 @@
 	Stream uint64
 	// Software is the key of the server's SoftwareVersion; 0 if it is not known.
 	Software uint64
-	// Server is a hash of the server's id, and Born the lower bits of its start time.
+	// Server is a hash of the server's id, and Born the lower bits of its start time, as its entry gave them. Both are 0
+	// once the entry was read again since: the server had the version that it names.
 	Server uint32
 	Born   uint32
 }
@@ -31,17 +32,26 @@
 func NewStreamOrigin(request string, e ServerEntry) StreamOrigin {
 	return StreamOrigin{
 		Stream: StreamKey(request), Software: e.Software().Key(),
-		Server: uint32(xxhash.Sum64String(e.ID)), Born: uint32(e.Born),
+		Server: max(1, uint32(xxhash.Sum64String(e.ID))), Born: uint32(e.Born),
 	}
 }
 
+// Verified returns the origin of a stream whose server's entry was read again after the stream began.
+func (o StreamOrigin) Verified() StreamOrigin {
+	o.Server, o.Born = 0, 0
+	return o
+}
+
+// IsVerified reports whether the server's entry was read again after the stream began.
+func (o StreamOrigin) IsVerified() bool { return o.Server == 0 && o.Born == 0 }
+
 // StreamKey returns the hash of a request's id.
 func StreamKey(request string) uint64 { return xxhash.Sum64String(request) }
 
-// Contradicts reports whether an entry shows that the server of the origin has started again under its id. Its version
-// may then be another one than the list said when the stream began.
+// Contradicts reports whether an entry shows that the server of the origin has started again under its id. Unless the
+// origin is verified, its version may then be another one than the list said when the stream began.
 func (o StreamOrigin) Contradicts(e ServerEntry) bool {
-	return uint32(xxhash.Sum64String(e.ID)) == o.Server && uint32(e.Born) != o.Born
+	return !o.IsVerified() && max(1, uint32(xxhash.Sum64String(e.ID))) == o.Server && uint32(e.Born) != o.Born
 }
 
 // originBytes is the length of an encoded StreamOrigin: two numbers of 8 bytes and two of 4.
