httpserve: Do not close idle connections on which a request waits or is being read

On a starved router the request may have waited long, and a configuration that shortens the idle timeout expires many connections at once. Shutdown closes idle connections in the same way.

Found by reading the code for the report of a whole request without an answer beside a change of the configuration.

Change: connections with bytes to read are left alone. The others are closed by net/http itself, whose read is made to fail; if it has read a request meanwhile, that goes on. Before Shutdown, idle connections are closed in this way.

TestRequestLostAtIdleTimeout failed before in both parts.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -22,6 +22,8 @@
 	defaultIdleTimeout   = 2 * time.Minute
 	defaultCloseTimeout  = 2 * time.Second
 	defaultHeaderBytes   = 64 << 10
+	// idleCloseTimeout limits the time in which idle connections are closed at the end.
+	idleCloseTimeout = 200 * time.Millisecond
 	// sweepInterval is the time between two checks for connections that exceed the limits of Listener.Limits.
 	sweepInterval = 250 * time.Millisecond
 )
@@ -182,6 +184,8 @@
 }
 
 func (s *server) close() error {
+	// Shutdown would close idle connections also while a request waits to be read from them.
+	s.watcher.closeIdle(min(idleCloseTimeout, s.closeTimeout))
 	closing, cancel := context.WithTimeout(context.Background(), s.closeTimeout)
 	defer cancel()
 	if err := s.srv.Shutdown(closing); err != nil {
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -41,6 +42,8 @@
 	// phase is what the connection is doing, since the given time.
 	phase phase
 	since time.Time
+	// expired is set once net/http was made to close the connection, unless it has read a request meanwhile.
+	expired bool
 }
 
 // phase is what a connection is doing.
@@ -121,6 +124,11 @@
 	}
 	v.unhandled += headers
 	v.phase, v.since = p, time.Now()
+	if v.expired && p != phaseIdle {
+		v.expired = false
+		// If the connection has failed, its next use reports that.
+		_ = c.SetReadDeadline(time.Time{})
+	}
 }
 
 func (w *watcher) remove(c net.Conn) int {
@@ -134,21 +142,41 @@
 	return n
 }
 
-// sweep closes the connections that have waited longer than the limits allow.
+// sweep closes the connections that have waited longer than the limits allow, apart from those with bytes to read. It
+// makes their reads fail, upon which net/http closes them, so that a request that is being read now is still answered.
 func (w *watcher) sweep(now time.Time, limits func() (header, idle time.Duration)) {
 	header, idle := limits()
 	w.mu.Lock()
-	var expired []net.Conn
+	defer w.mu.Unlock()
 	for c, v := range w.conns {
 		waited := now.Sub(v.since)
-		if v.phase == phaseHeader && waited > header || v.phase == phaseIdle && waited > idle {
-			expired = append(expired, c)
+		if (v.phase == phaseHeader && waited > header || v.phase == phaseIdle && waited > idle) && peek.Check(c) != peek.Readable {
+			// Any time in the past makes reads fail.
+			v.expired = c.SetReadDeadline(time.Unix(1, 0)) == nil
 		}
 	}
-	w.mu.Unlock()
-	for _, c := range expired {
-		_ = c.Close()
+}
+
+// closeIdle closes the idle connections like sweep, and waits until they are closed, at most for the given time.
+func (w *watcher) closeIdle(limit time.Duration) {
+	never := func() (header, idle time.Duration) { return math.MaxInt64, -1 }
+	for end := time.Now().Add(limit); w.anyIdle() && time.Now().Before(end); time.Sleep(closePollInterval) {
+		w.sweep(time.Now(), never)
+	}
+}
+
+// closePollInterval is the time between two checks whether idle connections are closed.
+const closePollInterval = 5 * time.Millisecond
+
+func (w *watcher) anyIdle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range w.conns {
+		if v.phase == phaseIdle {
+			return true
+		}
 	}
+	return false
 }
 
 // errorLog returns the logger that records net/http's messages of failed handshakes as refusals.
