direct: Decode configurations without holding up requests

Change: the decoder runs under a lock of its own.

TestRequestWaitsForConfiguration: no answer within two seconds before.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -136,6 +136,9 @@
 	// background waits for the goroutines that check servers and fetch state from peers.
 	background sync.WaitGroup
 
+	// decoding is held while a configuration is decoded and put in force. It is locked before mu.
+	decoding sync.Mutex
+
 	mu sync.Mutex
 	// The fields below are guarded by mu.
 	configuration laburnumring.ConfigurationText
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -91,17 +91,22 @@
 	if len(t.Text) == 0 {
 		return
 	}
+	// Decoding takes long, so it must not hold up requests.
+	r.decoding.Lock()
+	defer r.decoding.Unlock()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if t.Version <= r.configuration.Version {
+	inForce := r.configuration.Version
+	r.mu.Unlock()
+	if t.Version <= inForce {
 		return
 	}
 	table, err := r.o.Decode(t.Text)
 	if err != nil {
-		r.o.Logger.Log(event.ConfigurationBad, "version", t.Version, "source", source, "in_force", r.configuration.Version,
-			"error", err)
+		r.o.Logger.Log(event.ConfigurationBad, "version", t.Version, "source", source, "in_force", inForce, "error", err)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.configuration = t
 	r.table.Store(table)
 	r.intake.Configure(table)
