direct: Keep long error answers out of streams that go on

Cause: an answer that is too long to be buffered is forwarded as it comes, before the check whether the caller already has the head of a stream. Change: that check comes first.

rules/error_in_the_middle_of_stream failed before: 100,000 lines of the error in the stream.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -61,6 +61,13 @@
 func (r *Router) forwardBuffered(
 	ctx context.Context, c *call, d intake.Decision, conn *upstream.Conn, resp *http.Response,
 ) attemptEnd {
+	if c.committed {
+		// The caller's answer is a stream, which nothing but its events continues.
+		r.pool.Drain(conn, resp)
+		return attemptEnd{
+			result: intake.Failed, err: fmt.Errorf("backend server answered a resumed stream with status %d", resp.StatusCode),
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
 	if err != nil {
 		return r.connectionLost(ctx, c, d, conn, err)
@@ -84,11 +91,6 @@
 			result: intake.Failed, answer: a, err: fmt.Errorf("backend server failed the request: status %d", resp.StatusCode),
 		}
 	}
-	if c.committed {
-		return attemptEnd{
-			result: intake.Failed, err: fmt.Errorf("backend server answered a resumed stream with status %d", resp.StatusCode),
-		}
-	}
 	c.result = resultComplete
 	a.write(c)
 	return attemptEnd{result: intake.Whole, final: true}
