direct, standstill: Do not take old messages for news after a standstill

A router that had stood still took its old list of servers for the newest: messages of its peers that had waited meanwhile name the same list and the age that it had when they were sent.

Cause: the age in a message is counted from when it is handled. Change: a process that has not run for 400 ms, by its steady clock or by the time of day, which also counts suspensions, does not let messages confirm its list and configuration for 300 ms after that.

TestListConfirmedByMessagesOfAStandstill failed before: the list counted as the newest at 6,000 ms, five seconds after the last beat.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -24,6 +24,7 @@
 	"github.com/laburnumring/laburnumring/internal/roster"
 	"github.com/laburnumring/laburnumring/internal/rotation"
 	"github.com/laburnumring/laburnumring/internal/routing"
+	"github.com/laburnumring/laburnumring/internal/standstill"
 	"github.com/laburnumring/laburnumring/internal/suspect"
 	"github.com/laburnumring/laburnumring/internal/upstream"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -150,6 +151,7 @@
 	record        record
 	evidence      evidence
 	rotation      *rotation.Controller
+	standstill    standstill.Detector
 	// overloaded is set while the process gets too little processor time for its connections.
 	overloaded bool
 	// timerLag is the mean lateness of timers; busyTime is how long streams have been refused for lack of processor
--- /dev/null
+++ b/internal/direct/lineage_test.go
@@ -0,0 +1,54 @@
+package direct
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+
+	"github.com/laburnumring/laburnumring/internal/event"
+	"github.com/laburnumring/laburnumring/internal/gossip"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
+
+// manualClock stands still unless it is set.
+type manualClock struct{ now clock.Millis }
+
+// Now implements laburnumring.Clock.
+func (c *manualClock) Now() clock.Millis { return c.now }
+
+// TestListConfirmedByMessagesOfAStandstill guards against streams that go on at another version, and requests to servers
+// that have left, because a router that stood still takes its old list for the newest: the messages that it received
+// meanwhile name that list, and seem to have been sent just now.
+func TestListConfirmedByMessagesOfAStandstill(t *testing.T) {
+	c := &manualClock{now: 1000}
+	r := New(Options{
+		Clock: c, Address: netip.MustParseAddrPort("127.0.0.1:7400"),
+		Logger: event.NewLogger(io.Discard, "logfmt", "router"),
+	})
+	m := gossip.Message{
+		ConfigurationAge: gossip.UnknownAge,
+		Relayed:          &gossip.Ages{Configuration: gossip.UnknownAge, Roster: gossip.UnknownAge},
+	}
+	r.beat()
+	r.received(netip.MustParseAddr("127.0.0.2"), m)
+	if at := r.listReads.NewestAt(); at != c.now {
+		t.Fatalf("the list was the newest at %v, want %v", at, c.now)
+	}
+	c.now += 5 * clock.Second
+	for range 3 {
+		r.received(netip.MustParseAddr("127.0.0.2"), m)
+		if at := r.listReads.NewestAt(); at > 1000 {
+			t.Fatalf("%v after the last beat, an old message says that the list was the newest at %v", c.now-1000, at)
+		}
+		c.now += 20
+		r.beat()
+	}
+	for range 50 {
+		c.now += 10
+		r.beat()
+	}
+	r.received(netip.MustParseAddr("127.0.0.2"), m)
+	if at := r.listReads.NewestAt(); at != c.now {
+		t.Errorf("the list was the newest at %v, want %v", at, c.now)
+	}
+}
--- a/internal/direct/overload.go
+++ b/internal/direct/overload.go
@@ -27,6 +27,15 @@
 // have more.
 func (r *Router) Busy() bool { return r.busy.Load() }
 
+// beat records that the process runs. The caller holds mu.
+func (r *Router) beat() { r.standstill.Beat(r.o.Clock.Now(), clock.Millis(time.Now().UnixMilli())) }
+
+// stoodStill reports whether messages that are handled now may have been received while the process stood still. The
+// caller holds mu.
+func (r *Router) stoodStill(now clock.Millis) bool {
+	return r.standstill.Recent(now, clock.Millis(time.Now().UnixMilli()))
+}
+
 // poll checks the waiting requests and the processor load at regular intervals.
 func (r *Router) poll(ctx context.Context) {
 	m := overload.New()
@@ -36,6 +45,7 @@
 		others := len(r.gossip.Peers()) > 0
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		r.beat()
 		r.overloaded = m.Overloaded()
 		if r.overloaded {
 			r.rotation.RecordOverload(now)
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -86,17 +86,21 @@
 	}
 	r.configurationReads.SetRank(rank)
 	r.listReads.SetRank(rank)
-	if m.Configuration == r.configuration.Version {
+	still := r.stoodStill(now)
+	if !still && m.Configuration == r.configuration.Version {
 		confirm(r.configurationReads, now, m.ConfigurationAge, m.Relayed.Configuration)
 	}
 	listRead := false
 	for _, age := range []clock.Millis{m.RosterAge, m.Relayed.Roster} {
 		if age != gossip.UnknownAge {
-			r.roster.ReadSucceeded(now - age)
+			if !still {
+				r.roster.ReadSucceeded(now - age)
+			}
 			listRead = listRead || age <= maxListAge
 		}
 	}
-	if listRead && m.Roster == r.roster.Revision() {
+	// The ages in a message that waited in a standstill are too low.
+	if listRead && !still && m.Roster == r.roster.Revision() {
 		confirm(r.listReads, now, m.RosterAge, m.Relayed.Roster)
 		r.notifyListUpdated()
 	}
