direct: Count the reads of the record that began after a caller asked

A router whose clock stands still with its process, as in a suspension, could take a record that it had asked for before for one read since the caller came: both times are the same millisecond. The record may then lack the version of the caller's stream, which goes on at another one.

Change: reads are counted, and a caller waits for one that began after it asked. TestRecordReadBeforeTheCallerAsked failed before.

--- a/internal/direct/lineage.go
+++ b/internal/direct/lineage.go
@@ -40,11 +40,11 @@
 	if !c.route.Resumable() || c.head.LastEvent == "" {
 		return nil
 	}
-	now := r.o.Clock.Now()
+	now, reads := r.o.Clock.Now(), r.recordReads()
 	o, resolution := r.resolve(c, false)
 	source := "own"
 	if resolution == lineage.Unread {
-		if !r.awaitRecord(ctx, now) {
+		if !r.awaitRecord(ctx, reads) {
 			return r.refuseTakeUp(c, reasonRecordUnreadable)
 		}
 		o, resolution = r.resolve(c, true)
@@ -69,7 +69,7 @@
 		return r.refuseTakeUp(c, reasonVersionUnknown)
 	}
 	refusal := r.confirmOrigin(ctx, c, now)
-	if refusal != nil && refusal.Reason == reasonVersionUnknown && source == "own" && r.awaitRecord(ctx, now) {
+	if refusal != nil && refusal.Reason == reasonVersionUnknown && source == "own" && r.awaitRecord(ctx, reads) {
 		// The record may have the origin as verified since this router learned it.
 		refusal = r.confirmOrigin(ctx, c, now)
 	}
@@ -182,19 +182,27 @@
 	return &intake.RefusedError{Reason: reason, RetryAfter: unknownRetryAfter}
 }
 
-// awaitRecord waits until the record has been read since the given time. It returns false if that fails or takes too
-// long.
-func (r *Router) awaitRecord(ctx context.Context, since clock.Millis) bool {
+// recordReads returns the number of reads of the record that have begun.
+func (r *Router) recordReads() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.begun
+}
+
+// awaitRecord waits until a read of the record has succeeded that began after the given number of others. It returns
+// false if such a read fails or takes too long. The time would not do: a process may stand still while it reads, and its
+// clock with it.
+func (r *Router) awaitRecord(ctx context.Context, reads int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, maxRecordWait)
 	defer cancel()
 	for {
 		r.mu.Lock()
-		updated, readAt, failedAt := r.record.updated, r.record.readAt, r.record.failedAt
+		updated, succeeded, failed := r.record.updated, r.record.succeeded, r.record.failed
 		r.mu.Unlock()
-		if readAt >= since && readAt > 0 {
+		if succeeded > reads {
 			return true
 		}
-		if failedAt >= since && failedAt > 0 {
+		if failed > reads {
 			return false
 		}
 		wake(r.record.wanted)
--- a/internal/direct/lineage_record.go
+++ b/internal/direct/lineage_record.go
@@ -44,9 +44,12 @@
 type record struct {
 	// wanted wakes the reader.
 	wanted chan struct{}
-	// readAt is when the last successful read began, and failedAt the last one that failed.
-	readAt   clock.Millis
-	failedAt clock.Millis
+	// begun counts the reads. readAt is when the last successful one began; succeeded and failed are the numbers of the
+	// last ones that did.
+	begun     int64
+	readAt    clock.Millis
+	succeeded int64
+	failed    int64
 	// failing is set after a failed call until one succeeds.
 	failing bool
 	// updated is closed and replaced after each read.
@@ -90,6 +93,10 @@
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	began := r.o.Clock.Now()
+	r.mu.Lock()
+	r.record.begun++
+	n := r.record.begun
+	r.mu.Unlock()
 	list, err := r.o.Lineage.Versions(ctx)
 	if err == nil {
 		r.mu.Lock()
@@ -107,9 +114,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
-		r.record.failedAt = began
+		r.record.failed = n
 	} else {
-		r.record.readAt = began
+		r.record.readAt, r.record.succeeded = began, n
 	}
 	r.recordCalled("read", err)
 	close(r.record.updated)
--- a/internal/direct/lineage_test.go
+++ b/internal/direct/lineage_test.go
@@ -1,15 +1,32 @@
 package direct
 
 import (
+	"context"
 	"io"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
+// TestRecordReadBeforeTheCallerAsked guards against streams that go on at another version because a router that stood
+// still trusts a record which it had asked for before the stream began: its clock did not go on meanwhile.
+func TestRecordReadBeforeTheCallerAsked(t *testing.T) {
+	r := &Router{record: newRecord()}
+	r.record.begun = 1
+	asked := r.recordReads()
+	// The read that had begun by then ends.
+	r.record.succeeded = 1
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if r.awaitRecord(ctx, asked) {
+		t.Error("a record that was asked for before the caller came counts as read since")
+	}
+}
+
 // manualClock stands still unless it is set.
 type manualClock struct{ now clock.Millis }
 
