direct: Drop acknowledgements of the record from before the platform's recovery

A version or origin whose write was acknowledged just before the router noticed that the store had come back from a copy counted as recorded, though the copy may lack it.

Change: the acknowledgement counts only in the era in which the write was sent. TestWriteAcknowledgedBeforeRecoveryCountsAsRecorded failed before.

--- a/internal/direct/lineage_record.go
+++ b/internal/direct/lineage_record.go
@@ -153,7 +153,7 @@
 func (r *Router) admit(ctx context.Context) {
 	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, maxRecordPause) {
 		r.mu.Lock()
-		versions := r.lineage.Unadmitted()
+		versions, era := r.lineage.Unadmitted(), r.roster.Era()
 		r.mu.Unlock()
 		if len(versions) == 0 {
 			return
@@ -163,7 +163,8 @@
 		cancel()
 		r.mu.Lock()
 		r.recordCalled("add_versions", err)
-		if err == nil {
+		// After a recovery of the platform the write may be lost.
+		if err == nil && r.roster.Era() == era {
 			r.lineage.Admit(r.o.Clock.Now(), versions)
 			r.o.Logger.Log(event.VersionsAdmitted, "versions", versions)
 			r.admissionChanged()
@@ -277,7 +278,7 @@
 func (r *Router) appendOrigins(ctx context.Context) bool {
 	writer := r.rank() < originWriters
 	r.mu.Lock()
-	origins := r.lineage.Unrecorded(r.o.Clock.Now(), maxOriginBatch, writer)
+	origins, era := r.lineage.Unrecorded(r.o.Clock.Now(), maxOriginBatch, writer), r.roster.Era()
 	r.mu.Unlock()
 	if len(origins) == 0 {
 		return true
@@ -291,7 +292,9 @@
 	if err != nil {
 		return false
 	}
-	r.lineage.Recorded(origins)
+	if r.roster.Era() == era {
+		r.lineage.Recorded(origins)
+	}
 	r.metrics.origins.Add(float64(len(origins)))
 	return true
 }
--- a/internal/direct/lineage_test.go
+++ b/internal/direct/lineage_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -69,3 +70,60 @@
 		t.Errorf("the list was the newest at %v, want %v", at, c.now)
 	}
 }
+
+// restoringLog is a record that loses its latest changes while it answers the first call of each kind.
+type restoringLog struct {
+	laburnumring.LineageLog
+	restore func()
+	added   int
+	origins int
+}
+
+// AddVersions implements laburnumring.LineageLog.
+func (l *restoringLog) AddVersions(context.Context, []laburnumring.SoftwareVersion) error {
+	if l.added++; l.added == 1 {
+		l.restore()
+	}
+	return nil
+}
+
+// AppendOrigins implements laburnumring.LineageLog.
+func (l *restoringLog) AppendOrigins(context.Context, []laburnumring.StreamOrigin) error {
+	if l.origins++; l.origins == 1 {
+		l.restore()
+	}
+	return nil
+}
+
+// TestWriteAcknowledgedBeforeRecoveryCountsAsRecorded guards against versions and origins that are missing from the record
+// because the platform recovered from a copy between its answer and the moment at which the router handled that.
+func TestWriteAcknowledgedBeforeRecoveryCountsAsRecorded(t *testing.T) {
+	l := &restoringLog{}
+	r := New(Options{
+		Clock: &manualClock{now: 1000}, Address: netip.MustParseAddrPort("127.0.0.1:7400"), Lineage: l,
+		Logger: event.NewLogger(io.Discard, "logfmt", "router"),
+	})
+	list := laburnumring.ServerList{Revision: 1}
+	for _, v := range []string{"v1", "v2"} {
+		list.Entries = append(list.Entries, laburnumring.ServerEntry{ID: "server-" + v, Service: "llm", Version: v})
+	}
+	l.restore = func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		list.Era++
+		list.Revision++
+		r.applyServers(list, r.o.Clock.Now(), "platform")
+	}
+	r.applyServers(list, r.o.Clock.Now(), "platform")
+	r.admit(t.Context())
+	if l.added != 2 {
+		t.Errorf("versions were recorded %d times, want 2", l.added)
+	}
+	r.lineage.Begin(r.o.Clock.Now(), laburnumring.NewStreamOrigin("s", list.Entries[1]), "llm")
+	for range 3 {
+		r.appendOrigins(t.Context())
+	}
+	if l.origins != 2 {
+		t.Errorf("the origin was recorded %d times, want 2", l.origins)
+	}
+}
