backend, peek: Notice servers behind agents whose listener outlasts their connections

Change: the check is that of the routers, and lasts 50 ms. TestAnswerOfCrashedServerLooksComplete has a server whose listener closes 10 ms after its connection, and failed before.

--- a/internal/backend/end_test.go
+++ b/internal/backend/end_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/backend"
@@ -14,9 +15,9 @@
 )
 
 // TestAnswerOfCrashedServerLooksComplete reads answers that end with their connection, of a server that lives on and of
-// one that crashes in the middle of its answer.
+// ones that crash in the middle of their answer: their listener is closed before the connection, or some time after it.
 func TestAnswerOfCrashedServerLooksComplete(t *testing.T) {
-	for name, crash := range map[string]bool{"lives on": false, "crashes": true} {
+	for name, crash := range map[string]bool{"lives on": false, "crashes": true, "crashes, listener last": true} {
 		t.Run(name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -30,10 +31,14 @@
 				}
 				_, _ = http.ReadRequest(bufio.NewReader(conn))
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart of the ans")
-				if crash {
+				if name == "crashes" {
 					_ = ln.Close()
 				}
 				_ = conn.Close()
+				if crash {
+					time.Sleep(10 * time.Millisecond)
+					_ = ln.Close()
+				}
 			}()
 			p := backend.NewPlain(ln.Addr().String())
 			err = p.Run(t.Context(), laburnumring.BackendRequest{ID: "r", Method: "GET", Path: "/"}, run.New(run.Options{}))
--- a/internal/backend/plain.go
+++ b/internal/backend/plain.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/internal/upstream"
 )
 
@@ -69,7 +70,9 @@
 // connection, and so does one whose server crashes.
 func (p *Plain) checkReachable(ctx context.Context) error {
 	d := net.Dialer{Timeout: reachTimeout}
-	conn, err := d.DialContext(ctx, "tcp", p.address)
+	conn, err := peek.DialLasting(ctx, func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", p.address)
+	})
 	if err != nil {
 		return errorx.Decorate(err, "server is gone after an answer without a marked end")
 	}
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -275,7 +275,7 @@
 		return
 	}
 	r.background.Go(func() {
-		if err := r.pool.CheckAlive(context.Background(), address); err != nil {
+		if err := r.pool.Check(context.Background(), address); err != nil {
 			r.serverUnreachable(address, err)
 		}
 	})
--- a/internal/direct/end.go
+++ b/internal/direct/end.go
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
-	err := r.pool.CheckAlive(ctx, d.Server.Address)
+	err := r.pool.Check(ctx, d.Server.Address)
 	if err == nil {
 		return nil
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -16,7 +16,6 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
-	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/peek"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -61,8 +60,6 @@
 	maxForeignResponses = 2
 	maxDrainBytes       = 64 << 10
 	maxDrainTime        = 100 * time.Millisecond
-	// exitTime is how long the end of a process may take to close its connections and its listener.
-	exitTime = 50 * time.Millisecond
 	// maxHead limits a response's head together with the interim responses before it, in bytes.
 	maxHead = 64 << 10
 )
@@ -138,33 +135,19 @@
 	}
 }
 
-// Check makes a connection to address and keeps it for the next request.
+// Check makes a connection to the address of a server that has just ended one, and keeps it for the next request. It
+// returns an error if the server is gone.
 func (p *Pool) Check(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
+	nc, err := peek.DialLasting(ctx, func(ctx context.Context) (net.Conn, error) {
+		return p.dialer.DialContext(ctx, "tcp", address)
+	})
 	if err != nil {
-		return err
+		return &DialError{Address: address, Err: err}
 	}
-	p.Return(c)
+	p.Return(p.newConn(nc, address))
 	return nil
 }
 
-// CheckAlive makes a connection to the address of a server that has just ended a connection, and keeps it for the next
-// request. A process that ends closes its connections some time before its listener, so the connection must also last
-// for a while, or another one be possible after that.
-func (p *Pool) CheckAlive(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	interval.Sleep(ctx, exitTime)
-	if peek.Check(c.Conn) == peek.Idle {
-		p.Return(c)
-		return nil
-	}
-	_ = c.Close()
-	return p.Check(ctx, address)
-}
-
 // Return puts a connection back into the pool on which nothing has been sent since Get. Its idle time is not reset.
 func (p *Pool) Return(c *Conn) {
 	if c.idleSince == 0 {
@@ -178,11 +161,15 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
+	return p.newConn(nc, address), nil
+}
+
+func (p *Pool) newConn(nc net.Conn, address string) *Conn {
 	h := &headReader{r: nc, remaining: unlimited, address: address}
 	return &Conn{
 		Conn: nc, address: address, br: bufio.NewReaderSize(h, readBuffer), head: h, idleTimeout: p.o.IdleTimeout,
 		dialedAt: p.o.Clock.Now(), clock: p.o.Clock,
-	}, nil
+	}
 }
 
 func (p *Pool) pop(address string) *Conn {
