direct: Suspect requests whose server crashes soon after their first event

A prompt part that does so was not quarantined either.

Cause: a request whose answer had begun did not count as a cause of its server's crash, and its first event cleared the parts of its prompt.

Change: a request may be the cause for 200 ms after its answer began. Its parts are cleared after that, or when the answer is complete.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -85,6 +85,7 @@
 		}
 	}
 	r.recordStart(c)
+	r.recordWhole(c)
 	a := &answer{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptEnd{
@@ -118,10 +119,18 @@
 		return e
 	}
 	r.pool.Release(conn, resp)
+	r.recordWhole(c)
 	c.result = resultComplete
 	return attemptEnd{result: intake.Whole, final: true}
 }
 
+// recordWhole records that a server has completed its answer.
+func (r *Router) recordWhole(c *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recordProof(r.o.Clock.Now(), c)
+}
+
 // callerGone ends an attempt whose caller has gone.
 func (c *call) callerGone(err error) attemptEnd {
 	c.result = resultCallerGone
@@ -166,6 +175,7 @@
 			err = r.checkEnd(ctx, c, d, resp)
 			if err == nil {
 				r.pool.Release(conn, resp)
+				r.recordWhole(c)
 				c.result = resultComplete
 				return attemptEnd{result: intake.Whole, final: true}
 			}
@@ -272,6 +282,9 @@
 	c.maxGap = max(c.maxGap, now-last)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !c.mayCrash(now) {
+		r.recordProof(now, c)
+	}
 	r.intake.Progress(c.seq, eventstream.Count(events), now-last)
 	return now
 }
@@ -279,15 +292,29 @@
 // recordStart records that the answer's first bytes have arrived.
 func (r *Router) recordStart(c *call) {
 	now := r.o.Clock.Now()
-	first := !c.begun
-	c.begun = true
+	if !c.begun {
+		c.begun, c.begunAt = true, now
+	}
 	if c.firstByte == 0 {
 		c.firstByte = now
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.intake.Started(now, c.seq)
-	if first {
+}
+
+// crashTime is how long after the first bytes of an answer its request may still be what crashes the server.
+const crashTime = 200 * clock.Millis(1)
+
+// mayCrash reports whether the request may be what crashes the server that answers it.
+func (c *call) mayCrash(now clock.Millis) bool {
+	return !c.begun || !c.proven && now-c.begunAt < crashTime
+}
+
+// recordProof records that the request does not crash servers. The caller holds mu.
+func (r *Router) recordProof(now clock.Millis, c *call) {
+	if !c.proven {
+		c.proven = true
 		r.quarantine.RecordStart(now, c.parts)
 	}
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -93,7 +93,7 @@
 	r.logAttempt(now, c, d)
 	out := r.serverRequest(now, c, d)
 	c.attempts++
-	c.begun = false
+	c.begun, c.proven = false, false
 	r.metrics.attempts.WithLabelValues(c.service, attemptOrder(c.attempts)).Inc()
 	if c.attempts == 1 {
 		r.mu.Lock()
@@ -264,12 +264,12 @@
 	address := d.Server.Address
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !c.begun {
+	if c.mayCrash(now) {
 		r.recordCasualty(now, c, d.Server.ID, d.Server.Born)
 	}
 	recent := slices.DeleteFunc(r.disconnects[address], func(b disconnect) bool { return now-b.at > disconnectWindow })
 	r.disconnects[address] = append(recent, disconnect{
-		fingerprint: c.fingerprint, server: d.Server.ID, begun: c.begun, at: now,
+		fingerprint: c.fingerprint, server: d.Server.ID, mayCrash: c.mayCrash(now), at: now,
 	})
 	if len(recent) > 0 && now-recent[len(recent)-1].at < checkInterval {
 		return
@@ -292,8 +292,7 @@
 			continue
 		}
 		r.intake.Unreachable(now, b.server)
-		if b.begun {
-			// A request that crashes servers does so before its answer begins.
+		if !b.mayCrash {
 			continue
 		}
 		suspected := r.suspects.Kind(now, b.fingerprint) == suspect.Suspected
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -189,9 +189,9 @@
 type disconnect struct {
 	fingerprint uint64
 	server      string
-	// begun is set if the answer had begun.
-	begun bool
-	at    clock.Millis
+	// mayCrash is set if the request may be what crashed the server: its answer had not begun, or just now.
+	mayCrash bool
+	at       clock.Millis
 }
 
 // New returns a router that is idle until Run is called.
