direct: Let a check that takes too long say nothing about the end of an answer again

On a router without processor time, or before a server whose queue of connections is full, it would have whole answers asked for again.

--- a/internal/direct/end.go
+++ b/internal/direct/end.go
@@ -51,14 +51,12 @@
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	err := r.pool.Check(ctx, d.Server.Address)
-	if err == nil {
+	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
 		return nil
 	}
-	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	// A check that takes too long tells nothing.
-	if (!refused || r.mayHaveStopped(d.Server)) && !c.repeatable() {
+	if r.mayHaveStopped(d.Server) && !c.repeatable() {
 		return nil
 	}
 	return &UnmarkedEndError{Server: d.Server.ID, Err: err}
