lineage: Look up unrecorded origins from the newest on, and name what verification needs

An origin is verified within a second of its stream's start, so it stands near the end of the list, which holds a minute of streams. Origins that are new are not looked up at all. Worked out, not measured; no behaviour changes. The time in VerifyLater is called since, as it is not the present.

--- a/internal/lineage/origins.go
+++ b/internal/lineage/origins.go
@@ -18,11 +18,12 @@
 	relayed bool
 }
 
-// unverified is a stream that began here, and the entry of its server as it was then.
+// unverified is a stream that began here, and the entry of its server as it was then. since is a time at which the
+// server's process was taking requests.
 type unverified struct {
 	stream uint64
 	entry  laburnumring.ServerEntry
-	at     clock.Millis
+	since  clock.Millis
 }
 
 // begun is a stream whose origin is not recorded yet.
@@ -72,10 +73,10 @@
 	return o.StreamOrigin, ok
 }
 
-// VerifyLater records that the origin of a stream that begins here is to be verified by the entry of its server, when
-// the list is read next.
-func (t *Tracker) VerifyLater(now clock.Millis, stream uint64, e laburnumring.ServerEntry) {
-	t.unverified = append(t.unverified, unverified{stream: stream, entry: e, at: now})
+// VerifyLater records that the origin of a stream that begins here is to be verified by the entry of its server, in a list
+// that is read after the given time, at which the process that began the stream was taking requests.
+func (t *Tracker) VerifyLater(since clock.Millis, stream uint64, e laburnumring.ServerEntry) {
+	t.unverified = append(t.unverified, unverified{stream: stream, entry: e, since: since})
 }
 
 // Verify verifies the origins of streams that began here before the list was read. entry returns a server's entry in that
@@ -86,7 +87,7 @@
 		return
 	}
 	t.unverified = slices.DeleteFunc(t.unverified, func(u unverified) bool {
-		if u.at >= t.listAt {
+		if u.since >= t.listAt {
 			return false
 		}
 		known, ok := t.origins[u.stream]
@@ -103,7 +104,7 @@
 
 // recordAgain makes peers record the origin of a stream that began here once more.
 func (t *Tracker) recordAgain(now clock.Millis, stream uint64, service string) {
-	if i := slices.IndexFunc(t.unrecorded, func(b begun) bool { return b.stream == stream }); i >= 0 {
+	if i := t.unrecordedIndex(stream); i >= 0 {
 		t.unrecorded[i].relays, t.unrecorded[i].at = 0, now
 		return
 	}
@@ -126,15 +127,21 @@
 // Relayed records the origins that a peer's message names, which this router has to record.
 func (t *Tracker) Relayed(now clock.Millis, origins []laburnumring.StreamOrigin) {
 	for _, o := range origins {
-		if t.add(o.Stream, origin{StreamOrigin: o, at: now, relayed: true}) && !t.waits(o.Stream) {
+		_, known := t.origins[o.Stream]
+		if t.add(o.Stream, origin{StreamOrigin: o, at: now, relayed: true}) && (!known || t.unrecordedIndex(o.Stream) < 0) {
 			t.unrecorded = append(t.unrecorded, begun{stream: o.Stream, at: now})
 		}
 	}
 }
 
-// waits reports whether the origin of a stream is to be recorded.
-func (t *Tracker) waits(stream uint64) bool {
-	return slices.ContainsFunc(t.unrecorded, func(b begun) bool { return b.stream == stream })
+// unrecordedIndex returns the index of a stream in unrecorded, or -1. It looks at the newest first.
+func (t *Tracker) unrecordedIndex(stream uint64) int {
+	for i := len(t.unrecorded) - 1; i >= 0; i-- {
+		if t.unrecorded[i].stream == stream {
+			return i
+		}
+	}
+	return -1
 }
 
 // Learn adds origins that were read from the record. They are not read again, so one that a message has named is kept
