lineage: Record origins again that were verified while they were being recorded

The acknowledgement of the unverified origin dropped the verified one, so that other routers refused the stream if its server started again later. TestOriginVerifiedWhileItIsRecorded failed before: nothing was left to record.

--- a/internal/lineage/origins.go
+++ b/internal/lineage/origins.go
@@ -183,11 +183,14 @@
 	return out
 }
 
-// Recorded records that the platform has accepted origins.
+// Recorded records that the platform has accepted origins. Those that were verified meanwhile have to be recorded again.
 func (t *Tracker) Recorded(origins []laburnumring.StreamOrigin) {
-	done := make(map[uint64]bool, len(origins))
+	done := make(map[uint64]laburnumring.StreamOrigin, len(origins))
 	for _, o := range origins {
-		done[o.Stream] = true
+		done[o.Stream] = o
 	}
-	t.unrecorded = slices.DeleteFunc(t.unrecorded, func(b begun) bool { return done[b.stream] })
+	t.unrecorded = slices.DeleteFunc(t.unrecorded, func(b begun) bool {
+		o, ok := done[b.stream]
+		return ok && o == t.origins[b.stream].StreamOrigin
+	})
 }
--- a/internal/lineage/origins_test.go
+++ b/internal/lineage/origins_test.go
@@ -85,3 +85,22 @@
 		}
 	})
 }
+
+// TestOriginVerifiedWhileItIsRecorded guards against origins that stay unverified for all other routers: one is verified
+// while the platform records it.
+func TestOriginVerifiedWhileItIsRecorded(t *testing.T) {
+	tr := lineage.New()
+	server := entries([]string{"v2"})[0]
+	tr.SetList(1000, entries([]string{"v1", "v2"}))
+	tr.SetRecorded(1000, laburnumring.VersionList{Complete: true})
+	o := laburnumring.NewStreamOrigin("s", server)
+	tr.Begin(1000, o, "llm")
+	tr.VerifyLater(1000, o.Stream, server)
+	written := tr.Unrecorded(1000, 100, true)
+	tr.ListRead(1100)
+	tr.Verify(1100, func(string) (laburnumring.ServerEntry, bool) { return server, true })
+	tr.Recorded(written)
+	if again := tr.Unrecorded(1200, 100, true); len(again) != 1 || !again[0].IsVerified() {
+		t.Errorf("%v is left to record, want the verified origin", again)
+	}
+}
