direct: Clear a request of its server's crash with the second event of its answer

TestStreamThatHadBegunIsBlamedForCrashes failed since requests were suspected for 200 ms after their first event: a sound stream that loses two servers within that time was refused. The second event now clears a request, 200 ms do in any case.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -276,16 +276,19 @@
 func (r *Router) recordProgress(c *call, events []byte, last clock.Millis) clock.Millis {
 	if last == 0 {
 		r.recordStart(c)
+		c.begunEvents = eventstream.Count(events)
 		return r.o.Clock.Now()
 	}
 	now := r.o.Clock.Now()
 	c.maxGap = max(c.maxGap, now-last)
+	n := eventstream.Count(events)
+	c.begunEvents += n
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !c.mayCrash(now) {
 		r.recordProof(now, c)
 	}
-	r.intake.Progress(c.seq, eventstream.Count(events), now-last)
+	r.intake.Progress(c.seq, n, now-last)
 	return now
 }
 
@@ -303,12 +306,16 @@
 	r.intake.Started(now, c.seq)
 }
 
-// crashTime is how long after the first bytes of an answer its request may still be what crashes the server.
-const crashTime = 200 * clock.Millis(1)
+const (
+	// crashTime is how long after the first bytes of an answer its request may still be what crashes the server, and
+	// crashEvents the number of events of a stream from which on it is not.
+	crashTime   = 200 * clock.Millis(1)
+	crashEvents = 2
+)
 
 // mayCrash reports whether the request may be what crashes the server that answers it.
 func (c *call) mayCrash(now clock.Millis) bool {
-	return !c.begun || !c.proven && now-c.begunAt < crashTime
+	return !c.begun || !c.proven && c.begunEvents < crashEvents && now-c.begunAt < crashTime
 }
 
 // recordProof records that the request does not crash servers. The caller holds mu.
