lineage: Notice an era of the platform by the record too

testdata/recovery: only v1 before, though the router knew a second version; unsettled now. The model counts a router's use of an era from either.

--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -226,16 +226,15 @@
 	for _, v := range list.Versions {
 		t.version(now, v).recorded = true
 	}
-	if list.Complete && list.Era >= t.era {
-		t.era, t.complete = list.Era, true
+	t.enterEra(now, list.Era)
+	if list.Era == t.era {
+		t.complete = t.complete || list.Complete
 	}
 }
 
 // Restored records that the platform has lost the latest changes of its record, and begun an era.
 func (t *Tracker) Restored(now clock.Millis, era int64) {
-	if era > t.era {
-		t.recovery = recovery{era: era, eraAt: now, survived: t.survived || t.Settled()}
-	}
+	t.enterEra(now, era)
 	for _, s := range t.versions {
 		s.admitted = false
 	}
--- a/internal/lineage/recovery.go
+++ b/internal/lineage/recovery.go
@@ -17,6 +17,13 @@
 	survived bool
 }
 
+// enterEra records that the platform answered in an era.
+func (t *Tracker) enterEra(now clock.Millis, era int64) {
+	if era > t.era {
+		t.recovery = recovery{era: era, eraAt: now, survived: t.survived || t.Settled()}
+	}
+}
+
 // ListRead records that the list was the platform's newest at the given time.
 func (t *Tracker) ListRead(at clock.Millis) { t.listAt = max(t.listAt, at) }
 
