--- a/internal/direct/lineage_record.go
+++ b/internal/direct/lineage_record.go
@@ -135,7 +135,7 @@
 // admitVersions records the software versions that may begin streams, and removes those that no longer have any, until
 // ctx ends.
 func (r *Router) admitVersions(ctx context.Context) {
-	if r.o.FirstStart {
+	if own := r.o.Address.Addr(); r.o.FirstStart && (len(r.o.Seeds) == 0 || slices.Contains(r.o.Seeds, own)) {
 		r.confirmEmpty(ctx)
 	}
 	for ctx.Err() == nil {
@@ -176,8 +176,8 @@
 	}
 }
 
-// confirmEmpty confirms the record at the first start of the whole system, before any stream began. If that fails, the
-// record is confirmed once the list has settled.
+// confirmEmpty confirms the record at the first start of the whole system, before any stream began. The seeds do so for
+// all. If that fails, the record is confirmed once the list has settled.
 func (r *Router) confirmEmpty(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
