--- a/internal/direct/lineage_record.go
+++ b/internal/direct/lineage_record.go
@@ -140,7 +140,7 @@
 	}
 	for ctx.Err() == nil {
 		r.admit(ctx)
-		r.confirm(ctx)
+		r.confirmRecord(ctx)
 		r.forget(ctx)
 		select {
 		case <-ctx.Done():
@@ -190,8 +190,9 @@
 	r.recordCalled("confirm_versions", err)
 }
 
-// confirm confirms the record once it has all versions after a recovery of the platform. Some routers do so for all.
-func (r *Router) confirm(ctx context.Context) {
+// confirmRecord confirms the record of versions once it is complete after a recovery of the platform. The routers that
+// record origins do so for all.
+func (r *Router) confirmRecord(ctx context.Context) {
 	r.mu.Lock()
 	r.lineage.ListRead(r.listReads.NewestAt())
 	era, due := r.lineage.Confirmable()
@@ -208,6 +209,7 @@
 	r.recordCalled("confirm_versions", err)
 }
 
+// confirmEra records that the record of versions is complete in an era.
 func (r *Router) confirmEra(ctx context.Context, era int64) error {
 	if err := r.o.Lineage.ConfirmVersions(ctx, era); err != nil {
 		return err
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -159,9 +159,9 @@
 
 // closeIdle closes the idle connections like sweep, and waits until they are closed, at most for the given time.
 func (w *watcher) closeIdle(limit time.Duration) {
-	never := func() (header, idle time.Duration) { return math.MaxInt64, -1 }
+	onlyIdle := func() (header, idle time.Duration) { return math.MaxInt64, -1 }
 	for end := time.Now().Add(limit); w.anyIdle() && time.Now().Before(end); time.Sleep(closePollInterval) {
-		w.sweep(time.Now(), never)
+		w.sweep(time.Now(), onlyIdle)
 	}
 }
 
--- a/internal/lineage/lineage.go
+++ b/internal/lineage/lineage.go
@@ -37,8 +37,8 @@
 	announceTTL = 2 * clock.Second
 	// delegateTime is how long a stream may wait for room in a message to the routers that record it.
 	delegateTime = 1 * clock.Second
-	// relayedTTL is how long a router that has recorded the origin of another one's stream keeps it until it reads the
-	// record.
+	// relayedTTL is how long a router keeps the origin of another one's stream that it has recorded and not read from the
+	// record since.
 	relayedTTL = 10 * clock.Second
 	// maxOrigins limits the origins that are kept, those of this router and those read from the record.
 	maxOrigins = 1 << 16
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -136,7 +136,7 @@
 }
 
 // Check makes a connection to the address of a server that has just ended one, and keeps it for the next request. It
-// returns an error if the server is gone.
+// returns an error if the server is gone or cannot be reached.
 func (p *Pool) Check(ctx context.Context, address string) error {
 	nc, err := peek.DialLasting(ctx, func(ctx context.Context) (net.Conn, error) {
 		return p.dialer.DialContext(ctx, "tcp", address)
