direct: Hold only whole requests to crashes after the first event, from when the answer broke off

Cause of the first: the 200 ms after a first event were counted to the end of the check whether the server is gone, which lasts 50 to 200 ms itself. They are counted to the end of the connection now. The second was not traced.

--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -85,7 +85,6 @@
 		}
 	}
 	r.recordStart(c)
-	r.recordWhole(c)
 	a := &answer{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptEnd{
@@ -119,18 +118,10 @@
 		return e
 	}
 	r.pool.Release(conn, resp)
-	r.recordWhole(c)
 	c.result = resultComplete
 	return attemptEnd{result: intake.Whole, final: true}
 }
 
-// recordWhole records that a server has completed its answer.
-func (r *Router) recordWhole(c *call) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.recordProof(r.o.Clock.Now(), c)
-}
-
 // callerGone ends an attempt whose caller has gone.
 func (c *call) callerGone(err error) attemptEnd {
 	c.result = resultCallerGone
@@ -152,6 +143,9 @@
 	var last clock.Millis
 	for {
 		n, err := resp.Body.Read(buf[:])
+		if err != nil {
+			c.brokenAt = r.o.Clock.Now()
+		}
 		complete := c.events.Feed(buf[:n])
 		if len(c.events.Rest()) > maxEvent {
 			return r.connectionLost(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: maxEvent})
@@ -175,7 +169,6 @@
 			err = r.checkEnd(ctx, c, d, resp)
 			if err == nil {
 				r.pool.Release(conn, resp)
-				r.recordWhole(c)
 				c.result = resultComplete
 				return attemptEnd{result: intake.Whole, final: true}
 			}
@@ -285,9 +278,6 @@
 	c.begunEvents += n
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !c.mayCrash(now) {
-		r.recordProof(now, c)
-	}
 	r.intake.Progress(c.seq, n, now-last)
 	return now
 }
@@ -295,7 +285,8 @@
 // recordStart records that the answer's first bytes have arrived.
 func (r *Router) recordStart(c *call) {
 	now := r.o.Clock.Now()
-	if !c.begun {
+	first := !c.begun
+	if first {
 		c.begun, c.begunAt = true, now
 	}
 	if c.firstByte == 0 {
@@ -304,6 +295,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.intake.Started(now, c.seq)
+	if first {
+		r.quarantine.RecordStart(now, c.parts)
+	}
 }
 
 const (
@@ -313,15 +307,7 @@
 	crashEvents = 2
 )
 
-// mayCrash reports whether the request may be what crashes the server that answers it.
-func (c *call) mayCrash(now clock.Millis) bool {
-	return !c.begun || !c.proven && c.begunEvents < crashEvents && now-c.begunAt < crashTime
-}
-
-// recordProof records that the request does not crash servers. The caller holds mu.
-func (r *Router) recordProof(now clock.Millis, c *call) {
-	if !c.proven {
-		c.proven = true
-		r.quarantine.RecordStart(now, c.parts)
-	}
+// mayCrash reports whether the request may be what crashed the server whose answer broke off at the given time.
+func (c *call) mayCrash(brokenAt clock.Millis) bool {
+	return !c.begun || c.begunEvents < crashEvents && brokenAt-c.begunAt < crashTime
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -93,7 +93,7 @@
 	r.logAttempt(now, c, d)
 	out := r.serverRequest(now, c, d)
 	c.attempts++
-	c.begun, c.proven = false, false
+	c.begun, c.begunEvents, c.brokenAt = false, 0, 0
 	r.metrics.attempts.WithLabelValues(c.service, attemptOrder(c.attempts)).Inc()
 	if c.attempts == 1 {
 		r.mu.Lock()
@@ -264,12 +264,17 @@
 	address := d.Server.Address
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.mayCrash(now) {
+	if !c.begun {
 		r.recordCasualty(now, c, d.Server.ID, d.Server.Born)
 	}
+	brokenAt := now
+	if c.brokenAt > 0 {
+		// Whether the server is gone may have been checked since.
+		brokenAt = c.brokenAt
+	}
 	recent := slices.DeleteFunc(r.disconnects[address], func(b disconnect) bool { return now-b.at > disconnectWindow })
 	r.disconnects[address] = append(recent, disconnect{
-		fingerprint: c.fingerprint, server: d.Server.ID, mayCrash: c.mayCrash(now), at: now,
+		fingerprint: c.fingerprint, server: d.Server.ID, mayCrash: c.mayCrash(brokenAt), at: now,
 	})
 	if len(recent) > 0 && now-recent[len(recent)-1].at < checkInterval {
 		return
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -75,11 +75,11 @@
 	framing string
 	// begun is set once the latest attempt has brought a part of the answer.
 	begun bool
-	// begunAt is when that part arrived, and begunEvents the number of events of a stream since. proven is set once the
-	// answer has gone on for so long that its request does not crash servers.
+	// begunAt is when that part arrived, begunEvents the number of events of a stream since, and brokenAt when a stream's
+	// connection ended; 0 if it has not.
 	begunAt     clock.Millis
 	begunEvents int
-	proven      bool
+	brokenAt    clock.Millis
 	// firstByte is when the first bytes of the answer arrived; 0 before.
 	firstByte clock.Millis
 	// maxGap is the longest time between two events of a stream.
--- a/internal/direct/quarantine.go
+++ b/internal/direct/quarantine.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// recordCasualty records that a server broke off a request before its answer began, or soon after. The caller holds mu.
+// recordCasualty records that a server broke off a request before its answer began. The caller holds mu.
 func (r *Router) recordCasualty(now clock.Millis, c *call, server string, born int64) {
 	incarnation := xxhash.Sum64String(server + "@" + strconv.FormatInt(born, 10))
 	r.quarantine.RecordCasualty(now, c.sentAt, uint32(incarnation), uint32(c.fingerprint), c.parts)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// RecordCasualty records that a server broke off a request before its answer began, or soon after. server and request are hashes of the
+// RecordCasualty records that a server broke off a request before its answer began. server and request are hashes of the
 // server's incarnation and of the request's content.
 func (l *List) RecordCasualty(now, sent clock.Millis, server, request uint32, parts []uint64) {
 	if len(parts) == 0 {
@@ -170,8 +170,7 @@
 	return slices.ContainsFunc(c.parts, func(p uint64) bool { return c.broken > l.starts[p] })
 }
 
-// RecordStart records that the answer to a request with the given parts has begun, and that its server has not crashed
-// soon after.
+// RecordStart records that the answer to a request with the given parts has begun.
 func (l *List) RecordStart(now clock.Millis, parts []uint64) {
 	released := false
 	for _, p := range parts {
