intake: Record decisions on random sequences

The chain of conditions that decides on requests is about to become a table. A seeded generator of requests, events and reports prints the decisions per reason and a digest of all their figures, so that a change of behaviour shows. A change that is meant to alter decisions records them anew with -rewrite.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -28,6 +28,7 @@
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=DEMAND/SERVED[/ARRIVED/RECENT]]... [refused=N] [supply=F]
 //	supply                    prints the capacity factor that peers receive
 //	book                      prints the teams' usage since it was last printed
+//	replay seed=N steps=N     runs a random sequence against another controller and prints a digest of its decisions
 //
 // The command submit prints the decision, or that the request waits. With times=N it submits N requests and prints how
 // many were sent, waited or were refused for each reason; first is the delay of their first events.
@@ -69,6 +70,11 @@
 		id, _ = strconv.ParseInt(d.CmdArgs[0].Key, 10, 64)
 	}
 	switch d.Cmd {
+	case "replay":
+		seed, steps := int64(0), 0
+		d.ScanArgs(p.t, "seed", &seed)
+		d.ScanArgs(p.t, "steps", &steps)
+		return runReplay(d, uint64(seed), steps)
 	case "servers":
 		p.servers(d)
 	case "submit":
