intake: Decide by ordered tables of reasons

The reasons for which requests are sent, wait or are refused were spread over chains of conditions. They are now rows of ordered tables with their bounds: one for every service, one each for plain services and engines, which Submit, Poll and Resubmit evaluate, and one that Accepts evaluates before a request is sent. The files are laid out in the order in which a request passes through them.

--- a/internal/intake/book.go
+++ b/internal/intake/book.go
@@ -53,3 +53,18 @@
 	e := c.usage.Team(team)
 	e.Served, e.Recent, e.FairRate = b.Served, b.Recent, b.FairRate
 }
+
+// handleRefusal records the refusal of a request to an engine in the team's usage and in the table of refusals.
+func (c *Controller) handleRefusal(now clock.Millis, r Request, d Decision) {
+	if d.Refusal == nil || !c.isEngine(r.Service) {
+		return
+	}
+	c.RecordRefusal(r, d.Refusal.Reason)
+	switch {
+	case d.Refusal.Reason != reasonBusy:
+		c.refusals.record(now, uint32(r.Fingerprint))
+	case !r.retried():
+		// The caller retries at another router at once, which counts the demand.
+		c.ledger.AddDemand(now, r.Team, -r.tokens())
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,6 +3,16 @@
 // time to the first token, and divides an overloaded service among teams by max-min fairness. Routers exchange Reports,
 // so that decisions use fleet-wide loads and rates. The package does no I/O, starts no goroutine and reads no clock:
 // callers pass the time.
+//
+// A request passes through the files in this order, and each uses those before it:
+//
+//   - what is known: request, server, peers, report, view, versions, pause, limits, returns
+//   - what is owed to teams and what engines can do: supply, share
+//   - where the request could go: placement, plain, engine
+//   - what is decided: evaluation, reason, admission
+//   - what is booked: attempt, book
+//
+// The files intake and poll hold the entry points.
 package intake
 
 import (
@@ -25,20 +35,6 @@
 	Name string
 }
 
-// attempt is a request that was sent to a server and has not ended.
-type attempt struct {
-	r      Request
-	server string
-	load   Load
-	// tokensToRead is the prompt tokens that the server had to read before the first token, those of this request
-	// included.
-	tokensToRead int64
-	// unqueuedMs is the predicted time to the first token with an empty queue, in milliseconds.
-	unqueuedMs int64
-	sentAt     clock.Millis
-	started    bool
-}
-
 // Controller decides on the requests of one router and tracks those that wait or run. It is not safe for concurrent
 // use.
 type Controller struct {
@@ -80,6 +76,7 @@
 	admitted map[uint64]bool
 	// startedAt is when the first request came.
 	startedAt clock.Millis
+	tables    tables
 	// peers holds the latest reports of the other routers.
 	peers peers
 }
@@ -93,6 +90,7 @@
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
 		pauses: make(map[string]clock.Millis), backlogs: make(map[string]*backlog),
 		limits: ratelimit.New(o.Name), demands: make(map[string]*demand), peers: newPeers(),
+		tables: newTables(),
 	}
 }
 
@@ -139,10 +137,9 @@
 	}
 }
 
-// Accepts reports whether a server is on the list of servers that may get work and has not asked for a pause.
-func (c *Controller) Accepts(now clock.Millis, id string) bool {
-	s, ok := c.servers[id]
-	return ok && now >= c.pauses[id] && slices.Contains(c.pools[s.entry.Service], s)
+// lists reports whether a server is on the list of servers that may get work; a nil server is not.
+func (c *Controller) lists(s *server) bool {
+	return s != nil && slices.Contains(c.pools[s.entry.Service], s)
 }
 
 // Submit decides on a new request. It returns false if the request waits; Poll decides on it later.
@@ -187,21 +184,6 @@
 	return Decision{}, false
 }
 
-// handleRefusal records the refusal of a request to an engine in the team's usage and in the table of refusals.
-func (c *Controller) handleRefusal(now clock.Millis, r Request, d Decision) {
-	if d.Refusal == nil || !c.isEngine(r.Service) {
-		return
-	}
-	c.RecordRefusal(r, d.Refusal.Reason)
-	switch {
-	case d.Refusal.Reason != reasonBusy:
-		c.refusals.record(now, uint32(r.Fingerprint))
-	case !r.retried():
-		// The caller retries at another router at once, which counts the demand.
-		c.ledger.AddDemand(now, r.Team, -r.tokens())
-	}
-}
-
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int { return len(c.waiting) }
 
@@ -215,112 +197,6 @@
 	})
 }
 
-// Started records the first event of a stream or the answer to a plain call.
-func (c *Controller) Started(now clock.Millis, id int64) {
-	a, ok := c.attempts[id]
-	if !ok || a.started {
-		return
-	}
-	a.started = true
-	s := c.servers[a.server]
-	s.load.Queued -= a.load.Queued
-	s.succeeded()
-	if !c.isEngine(a.r.Service) {
-		return
-	}
-	c.recordStart(now, a.r)
-	if !c.timersLate {
-		c.forecast(a.r.Service).Observe(a.server, a.tokensToRead, now-a.sentAt)
-		if fraction, ok := waitFraction(float64(now-a.sentAt), float64(a.unqueuedMs), float64(a.r.Goal)); ok {
-			c.capacity(a.r.Service).observeWait(fraction)
-		}
-	}
-}
-
-// Result is the outcome of an attempt.
-type Result int
-
-// Outcomes of an attempt.
-const (
-	// Whole means that the server gave a complete answer.
-	Whole Result = iota + 1
-	// Failed means that the server failed the request: it gave no answer, a broken one, or one that reports an error.
-	Failed
-	// NotRun means that the server did not accept the request.
-	NotRun
-	// Unreachable means that no connection to the server could be established.
-	Unreachable
-	// Abandoned means that the caller disconnected or the request's deadline passed.
-	Abandoned
-)
-
-// Ended records the end of an attempt.
-func (c *Controller) Ended(now clock.Millis, id int64, res Result) {
-	a, ok := c.attempts[id]
-	if !ok {
-		return
-	}
-	delete(c.attempts, id)
-	s := c.servers[a.server]
-	s.load.Running--
-	s.load.Memory -= a.load.Memory
-	if !a.started {
-		s.load.Queued -= a.load.Queued
-	}
-	c.recordResult(now, s, a, res)
-	if s.load.Running == 0 && !slices.Contains(c.pools[s.entry.Service], s) {
-		delete(c.servers, a.server)
-	}
-}
-
-// Unreachable records that no connection to a server can be established. The server gets no work for a while and is
-// assumed to have lost its cached prompt parts.
-func (c *Controller) Unreachable(now clock.Millis, id string) {
-	if s, ok := c.servers[id]; ok {
-		s.block(now)
-		clear(s.cached)
-	}
-}
-
-// recordResult updates the server's statistics with the outcome of an attempt. It reverts the team's charge if the
-// request neither started in this attempt nor before.
-func (c *Controller) recordResult(now clock.Millis, s *server, a *attempt, res Result) {
-	switch res {
-	case Whole:
-		s.succeeded()
-		if !c.isEngine(a.r.Service) {
-			took := float64(now - a.sentAt)
-			if s.latencyMs == 0 {
-				s.latencyMs = took
-			}
-			s.latencyMs += latencyWeight * (took - s.latencyMs)
-		}
-	case Failed:
-		s.failed()
-	case Unreachable:
-		c.Unreachable(now, a.server)
-	case NotRun, Abandoned:
-	}
-	if !a.started && !a.r.Committed && res != Whole && c.isEngine(a.r.Service) {
-		c.ledger.AddServed(now, a.r.Team, -a.r.tokens())
-		c.usage.Team(a.r.Team).Reverted += a.r.tokens()
-	}
-}
-
-// Progress records that a number of a stream's events arrived, the given time after the preceding ones.
-func (c *Controller) Progress(id int64, events int, took clock.Millis) {
-	a, ok := c.attempts[id]
-	if !ok || events == 0 || c.timersLate {
-		return
-	}
-	s := c.servers[a.server]
-	gap := float64(took) / float64(events)
-	if s.eventGapMs == 0 {
-		s.eventGapMs = gap
-	}
-	s.eventGapMs += eventGapWeight * float64(events) * (gap - s.eventGapMs)
-}
-
 func (c *Controller) isEngine(service string) bool {
 	if c.table == nil {
 		return false
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -244,22 +244,6 @@
 	return min(wait+clock.Millis(float64(waiting)/perSecond*float64(clock.Second)), r.Deadline-now)
 }
 
-// refuseLimited returns the refusal of a request that the limits of its servers would make late, or false if it may
-// wait. A stream that has begun waits for its next server.
-func (c *Controller) refuseLimited(
-	now clock.Millis, r Request, pool []*server, wait clock.Millis, v *view,
-) (Decision, bool) {
-	after := c.limitedWait(now, r, pool, wait, v)
-	switch {
-	case r.committed() || float64(now-r.Arrived+after) <= lateStartFraction*float64(r.Goal):
-		return Decision{}, false
-	case wait == ratelimit.NoShare:
-		// Other routers have the shares, and the caller's next attempt goes to one of them.
-		after = minLimitedWait
-	}
-	return refuse(r, reasonLimited, max(after, minLimitedWait)), true
-}
-
 const (
 	// reasonLimited means that all servers take no further request for now by the limits that they have named.
 	reasonLimited = "servers_limited"
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -1,8 +1,6 @@
 package intake
 
 import (
-	"math"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/laburnumring/laburnumring/internal/fairshare"
@@ -84,51 +82,3 @@
 	c.peers.merge(now, peer, r)
 	c.ledger.Merge(now, peer, r.Teams)
 }
-
-// view is the fleet-wide state that all decisions at one moment use.
-type view struct {
-	// teams holds the teams' rates, fairRates the fair rate by service; infinite while capacity suffices for all.
-	teams     map[string]fairshare.Rates
-	fairRates map[string]float64
-	// peerAge is the age of the oldest peer report in use.
-	peerAge clock.Millis
-	// polling is set while the decisions are on waiting requests.
-	polling bool
-}
-
-func (c *Controller) view(now clock.Millis) *view {
-	return &view{teams: c.ledger.Totals(now), fairRates: make(map[string]float64, 1), peerAge: c.peers.expire(now)}
-}
-
-// load returns the load of all routers on a server.
-func (c *Controller) load(s *server) Load { return s.load.plus(c.peers.loads[s.key]) }
-
-// fairRate returns the max-min fair rate of a service's engines. What a team received while capacity sufficed for all
-// counts against it only up to maxCarryOver.
-func (c *Controller) fairRate(now clock.Millis, v *view, service string) float64 {
-	if rate, ok := v.fairRates[service]; ok {
-		return rate
-	}
-	rate := math.Inf(1)
-	if configured := c.table.Limits().TokensPerSecond; configured > 0 {
-		tokens := c.factor(now, service) * configured
-		rate = fairshare.FairRate(c.usableFraction(now, service, tokens)*tokens, v.teams)
-	}
-	if c.capacity(service).shortage.update(now, !math.IsInf(rate, 1)) {
-		c.ledger.Forgive(now, maxCarryOver*rate, v.teams)
-	}
-	v.fairRates[service] = rate
-	return rate
-}
-
-// maxCarryOver is the most that a team's usage from before a shortage counts, as a multiple of the fair rate.
-const maxCarryOver = 1.3
-
-func (c *Controller) capacity(service string) *capacityEstimate {
-	e, ok := c.capacities[service]
-	if !ok {
-		e = &capacityEstimate{}
-		c.capacities[service] = e
-	}
-	return e
-}
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -54,6 +54,14 @@
 // the engines' capacity.
 func (r Request) tokens() int64 { return r.PromptTokens + 2*r.OutputTokens }
 
+// ownTokens returns the tokens of the prompt's last part, which no other request shares.
+func (r Request) ownTokens() int64 {
+	if len(r.Parts) == 0 {
+		return r.PromptTokens
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
 // Decision is the outcome of Submit, Resubmit or Poll for one request.
 type Decision struct {
 	// Request is the request's ID.
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -144,3 +144,12 @@
 	}
 	return initialFactor
 }
+
+func (c *Controller) capacity(service string) *capacityEstimate {
+	e, ok := c.capacities[service]
+	if !ok {
+		e = &capacityEstimate{}
+		c.capacities[service] = e
+	}
+	return e
+}
--- a/internal/intake/versions.go
+++ b/internal/intake/versions.go
@@ -36,14 +36,3 @@
 	}
 	return slices.DeleteFunc(slices.Clone(pool), excluded)
 }
-
-// decideIneligible decides on a request for which no server has an eligible software version.
-func decideIneligible(now clock.Millis, r Request) (Decision, bool) {
-	if r.Software != 0 {
-		return refuse(r, reasonVersionGone, clock.Second), true
-	}
-	if now-r.Arrived < maxAdmissionWait {
-		return Decision{}, false
-	}
-	return refuse(r, reasonNotAdmitted, maxAdmissionWait), true
-}
