gossip: Send messages to other data centres once and forward them there

Messages between routers made up most of the traffic between data centres: each crossed a link once for every router behind it. A sender now picks one recipient of each other data centre per round as relay, which forwards the message to the other recipients there. The age of the reported state grows by one hop.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -224,9 +224,10 @@
 	r.quarantine = quarantine.New(quarantine.Options{Changed: r.quarantineChanged})
 	r.metrics.registry.MustRegister(o.Collectors...)
 	r.gossip = gossip.New(gossip.Options{
-		Address: o.Address, Seeds: o.Seeds, Incarnation: o.Incarnation, Clock: o.Clock, Logger: o.Logger,
+		Address: o.Address, Seeds: o.Seeds, Incarnation: o.Incarnation, Place: o.Place, Clock: o.Clock, Logger: o.Logger,
 		Message: r.message, Received: r.received, Origins: r.relayedOrigins,
 	})
+	r.metrics.registry.MustRegister(peerCollectors(r.gossip)...)
 	return r
 }
 
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/laburnumring/laburnumring/internal/account"
+	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -113,6 +114,22 @@
 	return m
 }
 
+// peerCollectors returns the metrics of the messages between routers.
+func peerCollectors(x *gossip.Exchange) []prometheus.Collector {
+	counter := func(name, help string, value func(gossip.Stats) int64) prometheus.Collector {
+		o := prometheus.CounterOpts{Name: name, Help: help}
+		return prometheus.NewCounterFunc(o, func() float64 { return float64(value(x.Stats())) })
+	}
+	return []prometheus.Collector{
+		counter("laburnumring_direct_peer_sent_bytes_total", "Bytes of messages sent to other routers.",
+			func(s gossip.Stats) int64 { return s.SentBytes }),
+		counter("laburnumring_direct_peer_crossed_bytes_total", "Bytes of messages sent to routers in other data centres.",
+			func(s gossip.Stats) int64 { return s.CrossedBytes }),
+		counter("laburnumring_direct_peer_forwarded_total", "Messages forwarded for routers in other data centres.",
+			func(s gossip.Stats) int64 { return s.Forwarded }),
+	}
+}
+
 func (m *metrics) setGauges(waiting int, inbound int64, casualties int) {
 	m.waiting.Set(float64(waiting))
 	m.inbound.Set(float64(inbound))
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -59,6 +60,8 @@
 	Origins []byte `cbor:"17,keyasint,omitempty"`
 	// Departures are servers that have recently said that they leave.
 	Departures []Departure `cbor:"14,keyasint,omitempty"`
+	// Relays is set if the sender forwards messages to other routers in its data centre.
+	Relays bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Departure is a server that has said that it leaves.
@@ -89,8 +92,10 @@
 	Seeds []netip.Addr
 	// Incarnation is unique to this run of the process.
 	Incarnation string
-	Clock       laburnumring.Clock
-	Logger      *event.Logger
+	// Place is the name of the router's data centre. If it is empty, all messages are sent directly.
+	Place  string
+	Clock  laburnumring.Clock
+	Logger *event.Logger
 	// Message returns the state to send. Received is called with each message from a peer that is newer than the
 	// peer's last one.
 	Message  func() Message
@@ -145,11 +150,18 @@
 	seq          int64
 	// delays estimates how long the peer's messages were delayed.
 	delays transit.Meter
+	// place is the peer's data centre; empty before its first message. relays is set if it forwards messages there, and
+	// overloaded if it has too little processor time.
+	place      string
+	relays     bool
+	overloaded bool
 }
 
 // Exchange sends messages to the peers and receives theirs. It is safe for concurrent use.
 type Exchange struct {
 	o Options
+	// sentBytes, crossedBytes and forwarded are the fields of Stats.
+	sentBytes, crossedBytes, forwarded atomic.Int64
 
 	mu sync.Mutex
 	// peers holds all known routers. Those in seeds are never removed.
@@ -256,15 +268,15 @@
 	m.Peers = x.livePeers(now)
 	m.Peers = m.Peers[:min(len(m.Peers), maxListedPeers)]
 	x.mu.Unlock()
-	m.Incarnation, m.Sent = x.o.Incarnation, now
+	m.Incarnation, m.Sent, m.Relays = x.o.Incarnation, now, x.o.Place != ""
 	n := len(to)
 	if origins, gets := x.origins(); len(origins) > 0 {
 		with := m
 		with.Origins = origins
-		x.write(conn, with, slices.DeleteFunc(slices.Clone(to), func(a netip.Addr) bool { return !gets(a) }))
+		x.write(conn, now, with, slices.DeleteFunc(slices.Clone(to), func(a netip.Addr) bool { return !gets(a) }))
 		to = slices.DeleteFunc(to, gets)
 	}
-	x.write(conn, m, to)
+	x.write(conn, now, m, to)
 	return n
 }
 
@@ -276,7 +288,7 @@
 }
 
 // write sends a message to peers.
-func (x *Exchange) write(conn *net.UDPConn, m Message, to []netip.Addr) {
+func (x *Exchange) write(conn *net.UDPConn, now clock.Millis, m Message, to []netip.Addr) {
 	if len(to) == 0 {
 		return
 	}
@@ -285,30 +297,36 @@
 		x.o.Logger.Log(event.PeerMessageBad, "direction", "out", "error", err)
 		return
 	}
-	for _, a := range to {
-		// A datagram that cannot be sent counts as lost; the next round sends the state again.
-		_, _ = conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(a, x.o.Address.Port()))
+	for _, h := range x.hops(now, to) {
+		x.writeHop(conn, data, h)
 	}
 }
 
 func (x *Exchange) receive(conn *net.UDPConn) {
 	buf := make([]byte, maxMessageBytes)
 	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		n, source, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
 		}
+		from, data := source.Addr().Unmap(), buf[:n]
+		if isEnvelope(data) {
+			from, data, err = x.unwrap(conn, from, data)
+		}
 		var m Message
-		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
-			x.o.Logger.Log(event.PeerMessageBad, "direction", "in", "peer", from.Addr(), "error", err)
+		if err == nil {
+			err = cbor.Unmarshal(data, &m)
+		}
+		if err != nil {
+			x.o.Logger.Log(event.PeerMessageBad, "direction", "in", "peer", source.Addr(), "error", err)
 			continue
 		}
-		delay, newer := x.record(from.Addr().Unmap(), m)
+		delay, newer := x.record(from, m)
 		if newer {
-			x.o.Received(from.Addr().Unmap(), m.addDelay(delay))
+			x.o.Received(from, m.addDelay(delay))
 		}
 	}
 }
@@ -350,6 +368,7 @@
 		p.delays = transit.Meter{}
 	}
 	p.lastReceived, p.incarnation, p.seq = now, m.Incarnation, m.Seq
+	p.place, p.relays, p.overloaded = m.State.Place, m.Relays, m.State.Overloaded
 	delay := p.delays.ExtraDelay(now, m.Sent)
 	for _, a := range m.Peers {
 		if _, ok := x.peers[a]; !ok && a != x.o.Address.Addr() && len(x.peers) < maxPeers {
