direct: Send nothing to servers in evacuated places

The operator evacuates a data centre with the record evacuate/PLACE in the topic of the configuration. The watcher of the configuration delivers the places from the same reads. Package evacuation holds them by revision, messages to peers carry the full set, and a peer's age confirms a configuration only together with the places.

--- a/direct.go
+++ b/direct.go
@@ -162,12 +162,41 @@
 // Unwrap returns the cause.
 func (e *InvalidConfigurationError) Unwrap() error { return e.Err }
 
-// ConfigurationWatcher watches the configuration on the platform. With an *InvalidConfigurationError, its methods return
-// the newest configuration that is valid, if they have read one.
+// Evacuations are the evacuated places, to whose servers nothing may be sent, as of one position in the operator's
+// records.
+type Evacuations struct {
+	// Revision increases with each of the operator's records, also across eras; 0 if none has been read.
+	Revision int64
+	// Era counts the recoveries of the platform's data like ServerList.Era.
+	Era int64
+	// Places holds the names of the evacuated places, sorted.
+	Places []string
+	// Removals holds the latest removal of each place's record among those that were read one by one in this era, sorted
+	// by place. A list of the newest records does not show removals.
+	Removals []EvacuationRemoval
+}
+
+// EvacuationRemoval is the removal of the record that evacuates a place.
+type EvacuationRemoval struct {
+	_     struct{} `cbor:",toarray"`
+	Place string
+	// Revision is the revision of Evacuations that the removal led to.
+	Revision int64
+}
+
+// OperatorRecords is what the operator has written.
+type OperatorRecords struct {
+	// Configuration is the newest configuration; its text is empty if none was read.
+	Configuration ConfigurationText
+	Evacuations   Evacuations
+}
+
+// ConfigurationWatcher watches the operator's records on the platform. With an *InvalidConfigurationError, its methods
+// return the newest configuration that is valid, if they have read one, and the evacuated places.
 type ConfigurationWatcher interface {
-	// Newest returns the newest configuration, or an empty text if none has been published.
-	Newest(ctx context.Context) (ConfigurationText, error)
-	// Next waits for a change since the last call of Newest or Next and returns the newest configuration. It returns
-	// false if there was none in time.
-	Next(ctx context.Context) (ConfigurationText, bool, error)
+	// Newest returns the newest configuration, or an empty text if none has been published, and the evacuated places.
+	Newest(ctx context.Context) (OperatorRecords, error)
+	// Next waits for records since the last call of Newest or Next and returns the newest configuration among them and
+	// the evacuated places. It returns false if there were none in time.
+	Next(ctx context.Context) (OperatorRecords, bool, error)
 }
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -117,7 +117,9 @@
 		Name: s.Name, Place: s.Place, Incarnation: incarnation.New(),
 		Address: netip.AddrPortFrom(s.Callers.Addr(), s.PeerPort), Seeds: seeds,
 		Clock: wallclock.New(), Dialect: platform.Dialect{}, Decode: platform.DecodeConfiguration,
-		Configurations: platform.NewConfigurations(store),
+		Configurations: platform.NewConfigurations(store, func(key string, offset int64, err error) {
+			logger.Log(event.PlatformRecordBad, "record", key, "offset", offset, "error", err)
+		}),
 		Servers: platform.NewServers(store, func(key string, offset int64, err error) {
 			logger.Log(event.PlatformRecordBad, "record", key, "offset", offset, "error", err)
 		}),
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/evacuation"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/graceperiod"
@@ -149,7 +150,9 @@
 	configuration laburnumring.ConfigurationText
 	roster        *roster.Roster
 	intake        *intake.Controller
-	quarantine    *quarantine.List
+	// evacuated holds the places to whose servers nothing may be sent.
+	evacuated  *evacuation.State
+	quarantine *quarantine.List
 	// workTimes is how long servers work on the requests of each route.
 	workTimes  *worktime.Estimates
 	lineage    *lineage.Tracker
@@ -207,7 +210,7 @@
 	r := &Router{
 		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
 		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place, Name: o.Address.Addr().String()}),
-		lineage: lineage.New(), record: newRecord(), workTimes: worktime.New(),
+		evacuated: evacuation.New(), lineage: lineage.New(), record: newRecord(), workTimes: worktime.New(),
 		evidence: evidence{wanted: make(chan struct{}, 1)}, listWanted: make(chan struct{}, 1),
 		rotation:  rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
 		retryCaps: make(map[string]*retrycap.Cap), listUpdated: make(chan struct{}),
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -21,7 +21,7 @@
 			synced = false
 			continue
 		}
-		var t laburnumring.ConfigurationText
+		var t laburnumring.OperatorRecords
 		var err error
 		changed := true
 		if synced {
@@ -48,7 +48,9 @@
 			continue
 		}
 		if changed {
-			r.configure(t, "platform")
+			// Evacuations come first: nothing may be sent by a first configuration before they are known.
+			r.applyEvacuations(t.Evacuations)
+			r.configure(t.Configuration, "platform")
 		}
 		r.mu.Lock()
 		r.configurationReads.Succeeded(r.o.Clock.Now())
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -46,12 +46,13 @@
 	return err == nil
 }
 
-// finalReadDue drops retained servers that have been missing from the list for too long. It reports whether the list
-// must be read once more before that happens.
+// finalReadDue drops retained servers that have been missing from the list for too long, and reopens places whose records
+// the store has lost for good. It reports whether the list must be read once more before servers are dropped.
 func (r *Router) finalReadDue() bool {
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.evacuationsChanged(r.evacuated.Expire(now), "expiry")
 	if r.roster.Expire(now) {
 		r.serversChanged("expiry")
 	}
@@ -109,7 +110,7 @@
 }
 
 // listUsable reports whether requests may be sent to the servers of the list: it is recent enough, or no router can
-// read a newer one.
+// read a newer one. A router that starts must know the evacuated places first.
 func (r *Router) listUsable() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,6 +119,9 @@
 
 // listUsableLocked is listUsable for callers that hold mu.
 func (r *Router) listUsableLocked(now clock.Millis) bool {
+	if !r.evacuated.Known() {
+		return false
+	}
 	age := r.listAge(now)
 	return age != gossip.UnknownAge && age <= maxSendListAge || r.roster.StoreUnavailable(now)
 }
@@ -155,13 +159,13 @@
 	for _, id := range removed {
 		r.unreadyAt[id] = r.o.Clock.Now()
 	}
-	r.intake.SetServers(ready)
+	usable := r.setUsableServers()
 	r.lineage.SetList(r.o.Clock.Now(), r.roster.Known())
 	r.intake.SetAdmitted(r.lineage.Admitted(r.o.Clock.Now()))
 	if len(r.lineage.Unadmitted()) > 0 {
 		wake(r.record.admissionWanted)
 	}
-	r.o.Logger.Log(event.ServersChanged, "revision", r.roster.Revision(), "ready", len(ready), "source", source,
+	r.o.Logger.Log(event.ServersChanged, "revision", r.roster.Revision(), "ready", usable, "source", source,
 		"came", joinIDs(added), "went", joinIDs(removed), "kept", r.roster.RetainedCount(),
 		"list_age_ms", int64(r.listAge(r.o.Clock.Now())))
 	r.deliverDecisions()
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -40,6 +40,8 @@
 	// missing from the list but may still get work.
 	listAge  prometheus.Histogram
 	retained prometheus.Gauge
+	// evacuated is the number of evacuated places.
+	evacuated prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -103,13 +105,16 @@
 			Help:    "Time since the list of backend servers was known to be the newest, at each send.",
 			Buckets: []float64{.1, .3, .7, 1, 1.3, 1.6, 2, 3, 5, 10, 30},
 		}),
+		evacuated: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_evacuated_places", Help: "Places to whose backend servers nothing may be sent.",
+		}),
 		retained: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_servers_kept",
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
 	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.framings, m.takenUp, m.origins, m.evidenceWrites, m.tokens, m.waiting, m.inbound, m.casualties, m.quarantined, m.limited, m.listAge,
-		m.retained)
+		m.retained, m.evacuated)
 	return m
 }
 
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -35,6 +35,7 @@
 		},
 		Work: r.intake.Report(now), Quarantine: r.quarantine.Report(now), State: r.state(now),
 		Departures: r.departures(now), Versions: r.lineage.Announcements(),
+		Evacuated: r.evacuated.Report(now),
 	}
 }
 
@@ -73,6 +74,7 @@
 	r.rotation.Merge(now, from.String(), m.State)
 	r.quarantine.Merge(now, m.Quarantine)
 	r.recordDepartures(now, from.String(), m.Departures)
+	r.mergeEvacuations(now, from.String(), m)
 	rank := r.rank()
 	r.lineage.Announced(now, m.Versions[:min(len(m.Versions), maxAnnouncements)])
 	if rank < originWriters {
@@ -81,7 +83,8 @@
 	r.configurationReads.SetRank(rank)
 	r.listReads.SetRank(rank)
 	still := r.stoodStill(now)
-	if !still && m.Configuration == r.configuration.Version {
+	// The evacuated places are read together with the configuration, and a peer's age is that of both.
+	if !still && m.Configuration == r.configuration.Version && r.evacuated.Confirms(m.Evacuated) {
 		confirm(r.configurationReads, now, m.ConfigurationAge, m.Relayed.Configuration)
 	}
 	listRead := false
--- a/internal/direct/run.go
+++ b/internal/direct/run.go
@@ -141,7 +141,7 @@
 	if end.addressReassigned {
 		r.roster.AddressReassigned(d.Server.ID)
 		r.o.Logger.Log(event.ServerAddressReassigned, "server", d.Server.ID, "address", d.Server.Address)
-		r.intake.SetServers(r.roster.Servers())
+		r.setUsableServers()
 	}
 	r.deliverDecisions()
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -51,6 +51,7 @@
 	StreamTakenUp           = Event{5011, log.InfoLevel, "caller takes up a stream"}
 	VersionsAdmitted        = Event{2018, log.InfoLevel, "software versions recorded"}
 	VersionsConfirmed       = Event{2023, log.InfoLevel, "record of software versions confirmed"}
+	EvacuationsChanged      = Event{2024, log.InfoLevel, "evacuated places changed"}
 	VersionForgotten        = Event{2019, log.InfoLevel, "software version removed from the record"}
 	LineageUnreachable      = Event{2020, log.WarnLevel, "record of software versions unreachable"}
 	EvidenceRead            = Event{2021, log.InfoLevel, "evidence of crashes taken from the platform"}
@@ -92,7 +93,7 @@
 		ConfigSuperseded, ConfigHistoryLost, ConfigHistoryKnown, ConfigSnapshot,
 		ConfigNotExchanged,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerStateReceived,
-		StoreRestored, StoreEraInvalid, VersionsAdmitted, VersionsConfirmed, VersionForgotten, LineageUnreachable, EvidenceRead, EvidenceUnreachable,
+		StoreRestored, StoreEraInvalid, VersionsAdmitted, VersionsConfirmed, VersionForgotten, LineageUnreachable, EvacuationsChanged, EvidenceRead, EvidenceUnreachable,
 		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, RouterLoad,
 		RequestSent, RequestNotAdmitted, RequestEnded, AttemptFailed, RequestBroken, StreamTakenUp, TeamShare, ServerAddressReassigned, ServerUnreachable,
 		ServerLeaves, ReplyHeaderInvalid, ServerPauses,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/evacuation"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
@@ -57,6 +58,8 @@
 	Versions []laburnumring.SoftwareVersion `cbor:"16,keyasint,omitempty"`
 	// Origins holds the origins of streams that the sender has begun, encoded by laburnumring.EncodeOrigins.
 	Origins []byte `cbor:"17,keyasint,omitempty"`
+	// Evacuated is what the sender knows of evacuated places; nil if there never were any.
+	Evacuated *evacuation.Report `cbor:"18,keyasint,omitempty"`
 	// Departures are servers that have recently said that they leave.
 	Departures []Departure `cbor:"14,keyasint,omitempty"`
 }
@@ -326,6 +329,7 @@
 	}
 	m.Quarantine = m.Quarantine.AddDelay(delay)
 	m.Work = m.Work.WithDelay(delay)
+	m.Evacuated = m.Evacuated.WithDelay(delay)
 	return m
 }
 
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -71,7 +71,7 @@
 	}
 	pool := c.pools[r.Service]
 	if len(pool) == 0 {
-		return refuse(r, reasonNoServer, clock.Second), true
+		return refuse(r, c.emptyReason(), clock.Second), true
 	}
 	if pool = c.eligible(pool, r); len(pool) == 0 {
 		return decideIneligible(now, r)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -68,6 +68,8 @@
 	refusals refusalTable
 	// busy is set while the router has too little processor time for further streams.
 	busy bool
+	// evacuating is set while places are evacuated.
+	evacuating bool
 	// timersLate is set while the router's timers are so late that the times it measures are due to the router as much
 	// as to the engines.
 	timersLate bool
--- /dev/null
+++ b/internal/intake/reopened.go
@@ -0,0 +1,7 @@
+package intake
+
+import "github.com/laburnumring/laburnumring/pkg/clock"
+
+// PlaceReopened records that the servers of a place may get requests again after an evacuation. They may just have
+// become cold.
+func (c *Controller) PlaceReopened(now clock.Millis, place string) {}
