direct: Read the operator's records again at once after a restore

A read may wait at an offset that the recovered store has given out again: until it ended, up to 2.7 s, a record at that offset was not seen. The read is aborted when the list of servers shows a new era, if a place was ever evacuated.

--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -187,6 +187,8 @@
 	// listReads and configurationReads divide the reads among the routers.
 	listReads          *readshare.Schedule
 	configurationReads *readshare.Schedule
+	// abortRead aborts the read that waits for the operator's next records; nil before the first.
+	abortRead context.CancelCauseFunc
 	// fetching is set while newer state is being fetched from a peer.
 	fetching bool
 }
--- a/internal/direct/follow.go
+++ b/internal/direct/follow.go
@@ -25,7 +25,11 @@
 		var err error
 		changed := true
 		if synced {
-			t, changed, err = r.o.Configurations.Next(ctx)
+			var aborted bool
+			if t, changed, aborted, err = r.awaitRecords(ctx); aborted {
+				synced = false
+				continue
+			}
 		} else {
 			t, err = r.o.Configurations.Newest(ctx)
 		}
@@ -58,6 +62,21 @@
 	}
 }
 
+// awaitRecords waits for the operator's next records. It reports whether the read was aborted because the store has
+// recovered: a read may wait on at an offset that the store has given out again.
+func (r *Router) awaitRecords(ctx context.Context) (t laburnumring.OperatorRecords, changed, aborted bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	r.mu.Lock()
+	r.abortRead = cancel
+	r.mu.Unlock()
+	t, changed, err = r.o.Configurations.Next(ctx)
+	return t, changed, err != nil && errors.Is(context.Cause(ctx), errStoreRestored), err
+}
+
+// errStoreRestored aborts a read that waits for records of an earlier era.
+var errStoreRestored = errors.New("the platform's store has recovered from a backup")
+
 // readDue reports whether this router is to read now, because it is its turn or wanted. If not, it waits for a short time
 // first. wanted may be nil.
 func (r *Router) readDue(ctx context.Context, s *readshare.Schedule, wanted <-chan struct{}) bool {
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -96,6 +96,9 @@
 		r.lineage.Restored(r.o.Clock.Now(), r.roster.Era())
 		wake(r.record.admissionWanted)
 		r.evidence.recorded = false
+		if r.abortRead != nil && r.evacuated.Recorded() {
+			r.abortRead(errStoreRestored)
+		}
 	}
 	if changed {
 		r.serversChanged(source)
--- a/internal/evacuation/evacuation.go
+++ b/internal/evacuation/evacuation.go
@@ -73,6 +73,9 @@
 // SetKnown records that a router which knew the operator's records has reported.
 func (s *State) SetKnown() { s.known = true }
 
+// Recorded reports whether there has been any record of an evacuated place.
+func (s *State) Recorded() bool { return s.recorded }
+
 // Revision returns the revision of the operator's records that the places follow from.
 func (s *State) Revision() int64 { return s.newest.Revision }
 
--- a/internal/evacuation/evacuation_test.go
+++ b/internal/evacuation/evacuation_test.go
@@ -123,7 +123,7 @@
 	if !s.Confirms(peer.Report(3)) || !peer.Contains("a") || peer.Contains("b") {
 		t.Error("a peer that was told does not hold the same records")
 	}
-	if peer.Merge(4, &evacuation.Report{Revision: 9, Places: make([]string, 1000)}); peer.Revision() != 6 {
+	if peer.Merge(4, &evacuation.Report{Revision: 9, Places: strings.Split(strings.Repeat("p ", 1000)+"p", " ")}); peer.Revision() != 6 {
 		t.Error("an excessive report is applied")
 	}
 }
