--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"reflect"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/goleak"
 
+	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/evacuation"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/gossip"
@@ -58,6 +61,10 @@
 			Casualties: []quarantine.Casualty{{Server: 1 << 31, Request: 1 << 60, Late: true, Gone: true, Sent: 30, Broken: 20, Refused: 10, Parts: []uint64{1 << 63}}},
 			Answers:    []quarantine.Answer{{Key: 1 << 63, Age: 10}},
 		},
+		Evacuated: &evacuation.Report{
+			Revision: 1 << 42, Era: 4, Places: []string{"a", "b"}, Held: []evacuation.Hold{{Place: "c", Left: 4000}},
+			Removals: []laburnumring.EvacuationRemoval{{Place: "d", Revision: 1 << 41}},
+		},
 	}
 	var mu sync.Mutex
 	got := make(map[netip.Addr]gossip.Message)
@@ -105,6 +112,12 @@
 	if e := m.Work.Limits[0]; e.Server != 1<<31 || e.PerSecond != 2.8 || e.Cleared != -1 || m.Work.Demand["llm"] != 3.5 {
 		t.Errorf("received limit %+v and demand %v", e, m.Work.Demand)
 	}
+	// The remaining time shrinks by the time for which the message was delayed.
+	if e := m.Evacuated; e == nil || len(e.Held) != 1 || e.Held[0].Left > 4000 || e.Held[0].Left < 1000 {
+		t.Errorf("received evacuations %+v", e)
+	} else if e.Held[0].Left = 4000; !reflect.DeepEqual(e, sent.Evacuated) {
+		t.Errorf("received evacuations %+v", e)
+	}
 	casualty := m.Quarantine.Casualties[0]
 	// The ages grow by the time for which the message was delayed.
 	if casualty.Server != 1<<31 || casualty.Request != 1<<60 || !casualty.Late || !casualty.Gone || casualty.Sent-casualty.Broken != 10 || casualty.Refused < 10 ||
@@ -226,3 +239,19 @@
 		t.Errorf("the newest value known to a router was %d ms old, want at most %d", worst, maxAge)
 	}
 }
+
+// TestMessageWithoutEvacuations guards against a field in the messages of fleets in which no place was ever evacuated.
+func TestMessageWithoutEvacuations(t *testing.T) {
+	t.Parallel()
+	data, err := cbor.Marshal(gossip.Message{Evacuated: evacuation.New().Report(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[int]cbor.RawMessage
+	if err := cbor.Unmarshal(data, &fields); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := fields[18]; ok {
+		t.Errorf("the message has a field for evacuated places: %x", fields[18])
+	}
+}
