--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/evacuation"
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
@@ -58,6 +59,8 @@
 	Versions []laburnumring.SoftwareVersion `cbor:"16,keyasint,omitempty"`
 	// Origins holds the origins of streams that the sender has begun, encoded by laburnumring.EncodeOrigins.
 	Origins []byte `cbor:"17,keyasint,omitempty"`
+	// Evacuated is what the sender knows of evacuated places; nil if there never were any.
+	Evacuated *evacuation.Report `cbor:"18,keyasint,omitempty"`
 	// Departures are servers that have recently said that they leave.
 	Departures []Departure `cbor:"14,keyasint,omitempty"`
 	// Relays is set if the sender forwards messages to other routers in its data centre.
@@ -344,6 +347,7 @@
 	}
 	m.Quarantine = m.Quarantine.AddDelay(delay)
 	m.Work = m.Work.WithDelay(delay)
+	m.Evacuated = m.Evacuated.WithDelay(delay)
 	return m
 }
 
--- a/internal/intake/admission.go
+++ b/internal/intake/admission.go
@@ -8,6 +8,8 @@
 	ReasonOverShare = "over_share"
 	reasonEngines   = "engines_full"
 	reasonNoServer  = "no_server"
+	// reasonEvacuated is the reason of refusals if no server of a service is left while places are evacuated.
+	reasonEvacuated = "place_evacuated"
 	// reasonServersFull means that a plain service has no free slot.
 	reasonServersFull = "servers_full"
 	// reasonPaused means that all servers have asked for a pause.
@@ -35,6 +37,10 @@
 			name: "deadline", verdict: refuses, retryAfter: afterSecond,
 			when: func(e *evaluation) bool { return e.now >= e.r.Deadline },
 		},
+		{
+			name: reasonEvacuated, verdict: refuses, retryAfter: afterSecond,
+			when: func(e *evaluation) bool { return e.listed == 0 && e.c.evacuating },
+		},
 		{
 			name: reasonNoServer, verdict: refuses, retryAfter: afterSecond,
 			when: func(e *evaluation) bool { return e.listed == 0 },
