platform: Decode the cold times of servers and services

Servers say in their entries how long they stay cold, and the configuration and the settings say how many requests they take in that time. The roster ignores the fields that each heartbeat changes, so that a heartbeat is neither logged as a change nor unblocks a server whose address was reassigned.

--- a/direct.go
+++ b/direct.go
@@ -117,6 +117,17 @@
 	State ServerState `cbor:"state"`
 	// Born is when the server started, in Unix milliseconds by its own clock; 0 if the server does not state it.
 	Born int64 `cbor:"born"`
+	// ColdLeft is how much longer the server was cold when it wrote the entry: it has just started and takes few requests.
+	// It is 0 if the server is not cold, and at least 0.
+	ColdLeft clock.Millis `cbor:"cold_left,omitempty"`
+	// Written increases each time the server writes its entry, also across the eras of the list; 0 if that is unknown.
+	Written int64 `cbor:"written,omitempty"`
+}
+
+// WithoutHeartbeat returns the entry without what the server changes each time it writes it.
+func (e ServerEntry) WithoutHeartbeat() ServerEntry {
+	e.ColdLeft, e.Written = 0, 0
+	return e
 }
 
 // ServerList is the platform's list of backend servers at one time.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -106,8 +106,13 @@
 	return r.outageUntil(now) && now-r.lastFailure <= failureTTL
 }
 
+// sameEntry reports whether two entries differ in nothing but what each heartbeat of a server changes.
+func sameEntry(a, b laburnumring.ServerEntry) bool {
+	return a.WithoutHeartbeat() == b.WithoutHeartbeat()
+}
+
 // Apply replaces the servers by a list that was the platform's newest at the time at, and reports whether anything
-// changed. Ready servers that were listed before an outage and are missing after it are retained for a while. A list
+// other than heartbeats changed. Ready servers that were listed before an outage and are missing after it are retained for a while. A list
 // older than the current one changes no server.
 func (r *Roster) Apply(now clock.Millis, l laburnumring.ServerList, at clock.Millis) bool {
 	r.ReadSucceeded(at)
@@ -133,8 +138,8 @@
 	r.listed = listed
 	r.revision, r.era, r.currentAt = l.Revision, max(r.era, l.Era), max(r.currentAt, at)
 	after := r.all()
-	maps.DeleteFunc(r.reassigned, func(id string, e laburnumring.ServerEntry) bool { return after[id] != e })
-	return !maps.Equal(before, after) || len(r.retained) != retainedBefore || len(r.withheld) != withheldBefore
+	maps.DeleteFunc(r.reassigned, func(id string, e laburnumring.ServerEntry) bool { return !sameEntry(after[id], e) })
+	return !maps.EqualFunc(before, after, sameEntry) || len(r.retained) != retainedBefore || len(r.withheld) != withheldBefore
 }
 
 // FinalReadDue reports, once, whether it is time to read the list a final time before retained servers are removed.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,8 +25,15 @@
 	KVTokens int64
 	// EventTokens is the number of tokens in an event of a stream; 0 if not configured.
 	EventTokens int
+	// ColdTime is how long a server is cold after its start, and ColdPerSecond how many requests a second it takes in that
+	// time from all routers together; either is 0 if the service has no cold servers.
+	ColdTime      clock.Millis
+	ColdPerSecond float64
 }
 
+// HasColdServers reports whether the service's servers are cold after their start.
+func (s Service) HasColdServers() bool { return s.ColdTime > 0 && s.ColdPerSecond > 0 }
+
 // Team is a team and the API keys that authenticate it.
 type Team struct {
 	Name string
