ratelimit: Limit the requests to cold servers in every second

A cold server's limit holds beside the one that responses name; the lower of both counts and each ends on its own.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -9,8 +9,6 @@
 	"math"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -68,6 +66,11 @@
 	sharedAt   clock.Millis
 	tokens     float64
 	refilledAt clock.Millis
+	// cold is the limit that the server has while it is cold; its Until is 0 if there is none. quota is how many requests
+	// this router may send in a window then, as of sharedAt, and sent holds when it sent the latest, oldest first.
+	cold  Cold
+	quota int
+	sent  []clock.Millis
 }
 
 // active reports whether the limit is in force. Responses overtake each other, so one without a limit ends it only if
@@ -76,6 +79,21 @@
 	return l.namedAt > 0 && l.clearedAt <= l.namedAt && now-l.namedAt < limitTTL
 }
 
+// wasNamed reports whether a response said anything about the limit.
+func (l *limit) wasNamed() bool { return l.namedAt > 0 || l.clearedAt > 0 }
+
+// perSecondIn returns the lower of the limits in force; false if there is none.
+func (l *limit) perSecondIn(now clock.Millis) (perSecond float64, ok bool) {
+	named, cold := l.active(now), l.isCold(now)
+	switch {
+	case named && cold:
+		return min(l.perSecond, l.cold.PerSecond), true
+	case cold:
+		return l.cold.PerSecond, true
+	}
+	return l.perSecond, named
+}
+
 // Table holds the limits of all servers. It must not be used concurrently.
 type Table struct {
 	// self is this router's name among the members.
@@ -83,6 +101,8 @@
 	limits map[uint32]*limit
 	// lastReported is the server of the last older entry that was reported.
 	lastReported uint32
+	// fleet returns the routers that share the limits of cold servers; nil for a router on its own.
+	fleet func(now clock.Millis) Fleet
 }
 
 // New returns an empty table for the router with the given name.
@@ -98,7 +118,7 @@
 // Clear records that the response to a request sent at the given time named no limit. It reports whether that changes
 // the limit in force.
 func (t *Table) Clear(now, sent clock.Millis, server uint32) bool {
-	if _, ok := t.limits[server]; !ok {
+	if l, ok := t.limits[server]; !ok || !l.wasNamed() {
 		return false
 	}
 	return t.update(now, server, func(l *limit) { l.clearedAt = max(l.clearedAt, sent) })
@@ -132,10 +152,13 @@
 // Limit returns a server's limit in force; false if there is none.
 func (t *Table) Limit(now clock.Millis, server uint32) (perSecond float64, ok bool) {
 	l, ok := t.limits[server]
-	if !ok || !l.active(now) {
+	if !ok {
 		return 0, false
 	}
-	return l.perSecond, true
+	if perSecond, ok = l.perSecondIn(now); !ok {
+		return 0, false
+	}
+	return perSecond, true
 }
 
 // NoShare is the wait of a router that has no share of a limit.
@@ -145,20 +168,39 @@
 // that share the limit, this one included if it may send at all.
 func (t *Table) Wait(now clock.Millis, server uint32, members func() []Member) clock.Millis {
 	l, ok := t.limits[server]
-	if !ok || !l.active(now) {
+	if !ok {
+		return 0
+	}
+	named, cold := l.active(now), l.isCold(now)
+	if !named && !cold {
 		return 0
 	}
 	l.refill(now)
-	if l.sharedAt == 0 || now-l.sharedAt >= shareInterval {
-		l.share, l.sharedAt = share(max(minRate, l.perSecond), server, t.self, members()), now
+	interval := shareInterval
+	if cold {
+		interval = coldShareInterval
+	}
+	if l.sharedAt == 0 || now-l.sharedAt >= interval {
+		l.sharedAt, l.share = now, math.Inf(1)
+		known := members()
+		if named {
+			l.share = share(max(minRate, l.perSecond), server, t.self, known)
+		}
+		if cold {
+			l.share = min(l.share, t.coldShare(now, server, l, known))
+		}
+	}
+	wait := clock.Millis(0)
+	if cold {
+		wait = l.coldWait(now)
 	}
 	switch {
 	case l.tokens >= 1:
-		return 0
+		return wait
 	case l.share <= 0:
 		return NoShare
 	}
-	return clock.Millis(math.Ceil((1 - l.tokens) / l.share * float64(clock.Second)))
+	return max(wait, clock.Millis(math.Ceil((1-l.tokens)/l.share*float64(clock.Second))))
 }
 
 // Share returns this router's requests a second at a server with a limit, as last computed; 0 without one.
@@ -181,13 +223,16 @@
 	if l, ok := t.limits[server]; ok {
 		l.refill(now)
 		l.tokens--
+		if l.isCold(now) {
+			l.countCold(now)
+		}
 	}
 }
 
 // Prune removes the limits that have ended.
 func (t *Table) Prune(now clock.Millis) {
 	maps.DeleteFunc(t.limits, func(_ uint32, l *limit) bool {
-		return !l.active(now) && now-max(l.changedAt, l.clearedAt) > limitTTL
+		return !l.active(now) && !l.isCold(now) && now-max(l.changedAt, l.clearedAt) > limitTTL
 	})
 }
 
@@ -216,8 +261,7 @@
 	}
 	order := make(map[string]uint64, len(members))
 	for _, m := range members {
-		key := []byte{byte(server), byte(server >> 8), byte(server >> 16), byte(server >> 24)}
-		order[m.Name] = xxhash.Sum64(append(key, m.Name...))
+		order[m.Name] = rankHash(server, m.Name)
 	}
 	sorted := slices.SortedFunc(slices.Values(members), func(a, b Member) int {
 		return cmp.Or(cmp.Compare(order[a.Name], order[b.Name]), cmp.Compare(a.Name, b.Name))
@@ -230,6 +274,9 @@
 	var out, old []Entry
 	for _, server := range slices.Sorted(maps.Keys(t.limits)) {
 		l := t.limits[server]
+		if !l.wasNamed() {
+			continue
+		}
 		e := Entry{Server: server, PerSecond: l.perSecond, Named: age(now, l.namedAt), Cleared: age(now, l.clearedAt)}
 		switch {
 		case now-l.changedAt <= updateTTL:
