intake: Limit what cold servers get

Routers take the cold times from each newest list, also where heartbeats alone changed, and send to cold servers within the quotas; reopened places make their servers cold. A request that was decided on more than 250 ms ago, or before the server was known to be cold, goes back to the decision. Cold engines are left to requests whose shared parts they hold or are the primary server for, and the ratio of observed to predicted times at cold servers corrects the prediction.

--- a/direct.go
+++ b/direct.go
@@ -124,6 +124,11 @@
 	Written int64 `cbor:"written,omitempty"`
 }
 
+// SameIncarnation reports whether two entries of one id are of the same run of the server.
+func (e ServerEntry) SameIncarnation(o ServerEntry) bool {
+	return e.Born == o.Born && e.Address == o.Address && e.Version == o.Version
+}
+
 // WithoutHeartbeat returns the entry without what the server changes each time it writes it.
 func (e ServerEntry) WithoutHeartbeat() ServerEntry {
 	e.ColdLeft, e.Written = 0, 0
--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -129,6 +129,7 @@
 			Window: s.RetryWindow, Ratio: retryRatioFraction * s.RetryRatio, Burst: s.RetryBurst,
 		},
 		FirstStart: s.FirstStart, DrainTime: s.DrainTime, Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
+		ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
 		MaxBufferedBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
 	})
 }
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -168,7 +168,8 @@
 // It then returns how the attempt ended.
 func (r *Router) checkDecision(now clock.Millis, c *call, d intake.Decision) (attemptEnd, bool) {
 	r.mu.Lock()
-	accepts, admitted := r.intake.Accepts(now, d.Server.ID), r.admits(now, c)
+	accepts := r.intake.Accepts(now, d.Server.ID) && !r.intake.ColdSendLate(now, d.Request)
+	admitted := r.admits(now, c)
 	r.mu.Unlock()
 	if !admitted {
 		r.refuseAssigned(c, d, stoppingError())
@@ -176,7 +177,7 @@
 	}
 	if !accepts {
 		return attemptEnd{
-			result: intake.NotRun, err: fmt.Errorf("backend server %s left or asked for a pause meanwhile", d.Server.ID),
+			result: intake.NotRun, err: fmt.Errorf("backend server %s left, asked for a pause or became cold meanwhile", d.Server.ID),
 		}, true
 	}
 	if r.busy.Load() && !d.Underserved && c.attempts == 0 && c.route.Stream() && now-c.arrived > maxBusyWait {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -60,6 +60,10 @@
 	Retry retrycap.Options
 	// MaxBufferedBytes limits the request bodies that are in memory at the same time, in bytes; 0 means no limit.
 	MaxBufferedBytes int64
+	// ColdOverage and ColdSlack bound the requests that a cold server gets in any second from all routers: its service's
+	// rate times ColdOverage plus ColdSlack. No server is treated as cold if ColdOverage is 0.
+	ColdOverage float64
+	ColdSlack   float64
 	// Capacity is the router's processor time in thousandths of a core; 0 if it is not known.
 	Capacity int
 	// DrainTime is how long a server that leaves accepts requests after its entry says so; two seconds if zero.
@@ -206,7 +210,9 @@
 	}
 	r := &Router{
 		o: o, pool: upstream.New(upstream.Options{Clock: o.Clock}), metrics: newMetrics(),
-		roster: roster.New(), intake: intake.New(intake.Options{Place: o.Place, Name: o.Address.Addr().String()}),
+		roster: roster.New(), intake: intake.New(intake.Options{
+			Place: o.Place, Name: o.Address.Addr().String(), Alone: alone(o), ColdOverage: o.ColdOverage, ColdSlack: o.ColdSlack,
+		}),
 		lineage: lineage.New(), record: newRecord(), workTimes: worktime.New(),
 		evidence: evidence{wanted: make(chan struct{}, 1)}, listWanted: make(chan struct{}, 1),
 		rotation:  rotation.New(rotation.Options{Name: o.Address.Addr().String()}),
@@ -372,6 +378,7 @@
 		r.intake.PrunePauses(now)
 		r.intake.PruneLimits(now)
 		r.metrics.limited.Set(float64(r.intake.LimitedServers(now)))
+		r.logCold(now)
 		r.roster.Prune(now)
 		maps.DeleteFunc(r.unreadyAt, func(_ string, at clock.Millis) bool { return now-at > unreadyTTL })
 		r.metrics.setGauges(r.intake.Waiting(), r.inbound.Load(), r.quarantine.Casualties())
--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -96,6 +96,7 @@
 		wake(r.record.admissionWanted)
 		r.evidence.recorded = false
 	}
+	r.updateCold()
 	if changed {
 		r.serversChanged(source)
 	}
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -36,6 +36,8 @@
 	quarantined prometheus.Gauge
 	// limited is the number of servers that have named a limit.
 	limited prometheus.Gauge
+	// cold is the number of servers that are cold.
+	cold prometheus.Gauge
 	// listAge is the age of the list of backend servers at each attempt. retained is the number of servers that are
 	// missing from the list but may still get work.
 	listAge  prometheus.Histogram
@@ -98,6 +100,9 @@
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_limited_servers", Help: "Backend servers that take only so many requests a second.",
 		}),
+		cold: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "laburnumring_direct_cold_servers", Help: "Backend servers that have just started and take few requests.",
+		}),
 		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "laburnumring_direct_list_age_seconds",
 			Help:    "Time since the list of backend servers was known to be the newest, at each send.",
@@ -108,7 +113,7 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.framings, m.takenUp, m.origins, m.evidenceWrites, m.tokens, m.waiting, m.inbound, m.casualties, m.quarantined, m.limited, m.listAge,
+	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.framings, m.takenUp, m.origins, m.evidenceWrites, m.tokens, m.waiting, m.inbound, m.casualties, m.quarantined, m.limited, m.cold, m.listAge,
 		m.retained)
 	return m
 }
--- a/internal/intake/choose.go
+++ b/internal/intake/choose.go
@@ -202,6 +202,7 @@
 	ch.s.load = ch.s.load.plus(l)
 	c.attempts[r.ID] = &attempt{
 		r: r, server: ch.s.entry.ID, load: l, tokensToRead: b.Queued + b.Uncached, unqueuedMs: ch.unqueuedMs, sentAt: now,
+		cold: c.cold(now, ch.s),
 	}
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
--- a/internal/intake/engine.go
+++ b/internal/intake/engine.go
@@ -152,7 +152,8 @@
 		if full {
 			continue
 		}
-		expected := f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
+		cold := c.coldFactor(now, s)
+		expected := cold*f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
 		score := expected
 		if reread := uncached - own; reread > 0 {
 			penalty := extraCopyPenalty
@@ -164,15 +165,15 @@
 		if s.entry.Place != c.o.Place {
 			score += otherPlaceMs
 		}
-		score += failurePenalty * s.failureRate * expected
+		score += failurePenalty*s.failureRate*expected + c.coldPenalty(now, s, r, s == preferred[0], max(0, uncached-own))
 		if c.limited(now, s) {
 			least = min(least, expected)
-			if leaves {
+			if leaves && !c.cold(now, s) {
 				score += onTimeFraction * float64(r.Goal)
 			}
 		}
 		if score < best.score {
-			best = choice{s: s, score: score, unqueuedMs: int64(f.Predict(s.entry.ID, uncached)), basis: Basis{
+			best = choice{s: s, score: score, unqueuedMs: int64(cold * f.Predict(s.entry.ID, uncached)), basis: Basis{
 				Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
 				Reread: max(0, uncached-own),
 			}}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -23,6 +23,12 @@
 	Place string
 	// Name is the router's name in the peers' reports.
 	Name string
+	// Alone is set if the router was started without the address of any other router.
+	Alone bool
+	// ColdOverage and ColdSlack bound the requests that a cold server gets in any second from all routers: its service's
+	// rate times ColdOverage plus ColdSlack. No server is treated as cold if ColdOverage is 0.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // attempt is a request that was sent to a server and has not ended.
@@ -37,6 +43,8 @@
 	unqueuedMs int64
 	sentAt     clock.Millis
 	started    bool
+	// cold is set if the server was cold when the request was sent.
+	cold bool
 }
 
 // Controller decides on the requests of one router and tracks those that wait or run. It is not safe for concurrent
@@ -76,6 +84,14 @@
 	// limits holds the rates of requests that servers take, and demands this router's demand by service.
 	limits  *ratelimit.Table
 	demands map[string]*demand
+	// colds holds the cold times of the servers by id, reopened when places were reopened, and coldTimes how much slower
+	// cold servers are, by service. membership knows the routers that share the limits of cold servers.
+	colds      map[string]*coldServer
+	reopened   map[string]clock.Millis
+	coldTimes  map[string]*forecast.Cold
+	membership *ratelimit.Membership
+	// now is the latest time that UpdateCold or PlaceReopened was called with.
+	now clock.Millis
 	// admitted holds the keys of the software versions that may begin streams.
 	admitted map[uint64]bool
 	// startedAt is when the first request came.
@@ -86,18 +102,25 @@
 
 // New returns a controller without servers.
 func New(o Options) *Controller {
-	return &Controller{
+	c := &Controller{
 		o: o, ledger: fairshare.New(fairshare.Options{}), usage: account.New(),
 		servers: make(map[string]*server), pools: make(map[string][]*server),
 		forecasts: make(map[string]*forecast.Forecast), attempts: make(map[int64]*attempt),
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
 		pauses: make(map[string]clock.Millis), backlogs: make(map[string]*backlog),
 		limits: ratelimit.New(o.Name), demands: make(map[string]*demand), peers: newPeers(),
+		colds: make(map[string]*coldServer), reopened: make(map[string]clock.Millis),
+		coldTimes: make(map[string]*forecast.Cold), membership: ratelimit.NewMembership(o.Alone),
 	}
+	c.limits.SetFleet(c.membership.Fleet)
+	return c
 }
 
 // Configure activates a configuration.
-func (c *Controller) Configure(t *routing.Table) { c.table = t }
+func (c *Controller) Configure(t *routing.Table) {
+	c.table = t
+	c.restoreCold()
+}
 
 // SetBusy sets whether the router has too little processor time for further streams while other routers may have
 // enough.
@@ -118,7 +141,7 @@
 	for _, e := range entries {
 		listed[e.ID] = true
 		s, ok := c.servers[e.ID]
-		if !ok || s.entry.Born != e.Born || s.entry.Address != e.Address || s.entry.Version != e.Version {
+		if !ok || !s.entry.SameIncarnation(e) {
 			replacement := &server{key: KeyOf(e.ID), cached: make(map[string]clock.Millis)}
 			if ok {
 				replacement.load = s.load
@@ -137,6 +160,7 @@
 			delete(c.servers, id)
 		}
 	}
+	c.restoreCold()
 }
 
 // Accepts reports whether a server is on the list of servers that may get work and has not asked for a pause.
@@ -230,7 +254,7 @@
 	}
 	c.recordStart(now, a.r)
 	if !c.timersLate {
-		c.forecast(a.r.Service).Observe(a.server, a.tokensToRead, now-a.sentAt)
+		c.observeStart(now, a)
 		if fraction, ok := waitFraction(float64(now-a.sentAt), float64(a.unqueuedMs), float64(a.r.Goal)); ok {
 			c.capacity(a.r.Service).observeWait(fraction)
 		}
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -165,7 +165,7 @@
 	return c.limits.Clear(now, sent, uint32(KeyOf(id)))
 }
 
-// limited reports whether a server has named a limit.
+// limited reports whether a server has a limit: it has named one or is cold.
 func (c *Controller) limited(now clock.Millis, s *server) bool {
 	_, ok := c.limits.Limit(now, uint32(s.key))
 	return ok
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -27,6 +27,8 @@
 	// to servers with a limit. They are empty while no limit is known.
 	Costs        map[string]Cost `cbor:"9,keyasint,omitempty"`
 	LimitedCosts map[string]Cost `cbor:"10,keyasint,omitempty"`
+	// Routers is the number of routers known to the sender, itself included; 0 where servers are never cold.
+	Routers int `cbor:"11,keyasint,omitempty"`
 	// delay is how long the report was delayed on its way.
 	delay clock.Millis
 }
@@ -57,6 +59,10 @@
 			out.Servers[s.key] = s.load
 		}
 	}
+	if c.coldBounded() {
+		c.membership.Reported(now)
+		out.Routers = c.membership.Count(now)
+	}
 	if c.limits.Len() > 0 {
 		out.Limits, out.Demand = c.limits.Report(now), make(map[string]float64)
 		out.Costs, out.LimitedCosts = make(map[string]Cost), make(map[string]Cost)
@@ -81,6 +87,9 @@
 	for _, e := range r.Limits {
 		c.limits.Merge(now, r.delay, e)
 	}
+	if c.coldBounded() {
+		c.membership.Heard(now, peer, r.Routers)
+	}
 	c.peers.merge(now, peer, r)
 	c.ledger.Merge(now, peer, r.Teams)
 }
--- a/internal/ratelimit/cold.go
+++ b/internal/ratelimit/cold.go
@@ -32,9 +32,9 @@
 }
 
 const (
-	// coldWindow is the time in which a router sends its quota. It exceeds the second of the bound by the time between
+	// ColdWindow is the time in which a router sends its quota. It exceeds the second of the bound by the time between
 	// the decision on a request and its arrival, which differs from request to request.
-	coldWindow = 1250 * clock.Millis(1)
+	ColdWindow = 1250 * clock.Millis(1)
 	// reserveFraction is the part of the bound that is not divided. It covers routers that know of fewer others than
 	// there are.
 	reserveFraction = 0.2
@@ -65,6 +65,12 @@
 	}
 }
 
+// Cold reports whether the limit of a cold server is in force.
+func (t *Table) Cold(now clock.Millis, server uint32) bool {
+	l, ok := t.limits[server]
+	return ok && l.isCold(now)
+}
+
 // isCold reports whether the server's limit as a cold server is in force.
 func (l *limit) isCold(now clock.Millis) bool { return now < l.cold.Until }
 
@@ -78,13 +84,13 @@
 	case len(l.sent) < l.quota:
 		return 0
 	}
-	return max(0, l.sent[len(l.sent)-l.quota]+coldWindow-now)
+	return max(0, l.sent[len(l.sent)-l.quota]+ColdWindow-now)
 }
 
 // countCold adds a request that is sent, and forgets those before the window.
 func (l *limit) countCold(now clock.Millis) {
 	n := 0
-	for n < len(l.sent) && now-l.sent[n] >= coldWindow {
+	for n < len(l.sent) && now-l.sent[n] >= ColdWindow {
 		n++
 	}
 	l.sent = append(append(l.sent[:0], l.sent[n:]...), now)
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -143,8 +143,16 @@
 	return true
 }
 
-// Forget removes a server, whose next incarnation has no limit yet.
-func (t *Table) Forget(server uint32) { delete(t.limits, server) }
+// Forget removes the limit that a server's responses named: its next incarnation has named none yet. What was sent to a
+// cold server stays counted.
+func (t *Table) Forget(server uint32) {
+	l, ok := t.limits[server]
+	if !ok || l.cold.Until == 0 {
+		delete(t.limits, server)
+		return
+	}
+	l.perSecond, l.namedAt, l.clearedAt, l.changedAt = 0, 0, 0, 0
+}
 
 // Len returns the number of servers about whose limits something is known.
 func (t *Table) Len() int { return len(t.limits) }
