--- a/internal/intake/cold_test.go
+++ b/internal/intake/cold_test.go
@@ -201,6 +201,7 @@
 	if !r.c.ColdSendLate(r.now, warm) {
 		t.Error("a request decided on before the server turned cold is sent")
 	}
+	r.sent()
 	cold := submit()
 	if r.c.ColdSendLate(r.now+200, cold) || !r.c.ColdSendLate(r.now+300, cold) {
 		t.Error("a send is not late from 250 ms on")
