--- a/internal/ratelimit/cold_test.go
+++ b/internal/ratelimit/cold_test.go
@@ -131,9 +131,10 @@
 			}
 			if (now+coldStep*clock.Millis(i))%coldPeriod < coldStep {
 				r.members.Reported(now)
+				count := r.members.Count(now)
 				for _, o := range routers {
 					if o != r && now >= o.startsAt && rnd.Float64() >= p.loss && (now < p.cutAt || o.place == r.place) {
-						o.members.Heard(now, r.name, r.members.Count(now))
+						o.members.Heard(now, r.name, count)
 						o.heard[r.name] = r.demand
 					}
 				}
