direct: Compare entries without heartbeats before a stream goes on

A heartbeat between the decision and the check changed Written, so that the entry no longer equalled the listed one and the server seemed to have started again if the list had changed otherwise too. Found by reading; no test reproduces it.

--- a/internal/direct/lineage.go
+++ b/internal/direct/lineage.go
@@ -137,7 +137,9 @@
 	}
 	read := r.awaitListSince(ctx, conn.DialedAt(), wait)
 	r.mu.Lock()
-	listed := slices.Contains(r.readyServers, d.Server)
+	listed := slices.ContainsFunc(r.readyServers, func(e laburnumring.ServerEntry) bool {
+		return e.WithoutHeartbeat() == d.Server.WithoutHeartbeat()
+	})
 	r.mu.Unlock()
 	switch {
 	case !listed:
