--- a/internal/direct/list.go
+++ b/internal/direct/list.go
@@ -100,6 +100,7 @@
 			r.abortRead(errStoreRestored)
 		}
 	}
+	r.updateCold()
 	if changed {
 		r.serversChanged(source)
 	}
--- a/internal/intake/attempt.go
+++ b/internal/intake/attempt.go
@@ -14,6 +14,8 @@
 	unqueuedMs int64
 	sentAt     clock.Millis
 	started    bool
+	// cold is set if the server was cold when the request was sent.
+	cold bool
 }
 
 // assign assigns a request to a server and charges its load and tokens.
@@ -35,6 +37,7 @@
 	ch.s.load = ch.s.load.plus(l)
 	c.attempts[r.ID] = &attempt{
 		r: r, server: ch.s.entry.ID, load: l, tokensToRead: b.Queued + b.Uncached, unqueuedMs: ch.unqueuedMs, sentAt: now,
+		cold: c.cold(now, ch.s),
 	}
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
@@ -54,7 +57,7 @@
 	}
 	c.recordStart(now, a.r)
 	if !c.timersLate {
-		c.forecast(a.r.Service).Observe(a.server, a.tokensToRead, now-a.sentAt)
+		c.observeStart(now, a)
 		if fraction, ok := waitFraction(float64(now-a.sentAt), float64(a.unqueuedMs), float64(a.r.Goal)); ok {
 			c.capacity(a.r.Service).observeWait(fraction)
 		}
