ingress, direct: Charge bodies and buffered answers to an account as their bytes arrive

A body's buffer was allocated from the announced length, and counted towards the limit only once the body was complete; a chunked body not at all. Bodies and answers now lie in segments that are allocated as bytes arrive and charged to an account with a portion for each kind. When a portion is used up, the transfer that needs the most time to its end is evicted: a body with 503, before anything was sent to a server, an answer that its caller does not read by closing its connection. A body must end within its route's time and may pause as long as a connection may be idle (408); before, it had no time limit.

TestManyEndlessBytesFillTheMemory uses the account with the same bounds. go test -race ./internal/direct ./platform passes.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -23,6 +23,7 @@
 	"github.com/laburnumring/laburnumring/internal/gcpace"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
 	"github.com/laburnumring/laburnumring/internal/incarnation"
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/logqueue"
 	"github.com/laburnumring/laburnumring/internal/retrycap"
 	"github.com/laburnumring/laburnumring/internal/wallclock"
@@ -48,8 +49,12 @@
 	defaultIdleTimeout = 20 * time.Second
 	// maxHeaderBytes is the longest request header that is read; the configuration's limit is lower.
 	maxHeaderBytes = 256 << 10
-	// bodyMemoryFraction is the fraction of memory that buffered request bodies may occupy.
-	bodyMemoryFraction = 0.15
+	// headMemoryFraction, bodyMemoryFraction and answerMemoryFraction are the fractions of memory that request heads,
+	// request bodies and buffered answers may occupy. With what the process needs at rest, callers' connections and the
+	// memory that the garbage collector has not reclaimed yet, they stay below the limit of the smallest routers.
+	headMemoryFraction   = 0.05
+	bodyMemoryFraction   = 0.15
+	answerMemoryFraction = 0.08
 	// connMemoryFraction is the fraction of memory that callers' connections may occupy before the router stops keeping
 	// them alive after an answer. bytesPerConn is the memory of one connection: its buffers, its goroutines and what
 	// the kernel buffers of a request that was not read.
@@ -94,7 +99,8 @@
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		background.Go(func() { reloadOnHangup(ctx, hangup, logger, *file) })
-		r := newPlatformRouter(s, logger, summaries)
+		account := newAccount(s)
+		r := newPlatformRouter(s, account, logger, summaries)
 		background.Go(func() {
 			gcpace.Run(ctx, gcpace.Options{NormalPercent: lowRateGC, BusyPercent: highRateGC, BusyRate: highRequestRate, Count: r.Requests})
 		})
@@ -102,7 +108,15 @@
 	}
 }
 
-func newPlatformRouter(s platform.Settings, logger, summaries *event.Logger) *direct.Router {
+// newAccount returns the account of what callers consume.
+func newAccount(s platform.Settings) *ingress.Account {
+	part := func(fraction float64) int64 { return int64(fraction * float64(s.MemoryBytes)) }
+	return ingress.New(ingress.Options{
+		Clock: wallclock.New(), Heads: part(headMemoryFraction), Bodies: part(bodyMemoryFraction), Answers: part(answerMemoryFraction),
+	})
+}
+
+func newPlatformRouter(s platform.Settings, account *ingress.Account, logger, summaries *event.Logger) *direct.Router {
 	store := platform.NewStore(platform.StoreOptions{
 		Address: s.Store.String(),
 		OnInvalidEra: func(address string, err error) {
@@ -129,7 +143,7 @@
 			Window: s.RetryWindow, Ratio: retryRatioFraction * s.RetryRatio, Burst: s.RetryBurst,
 		},
 		FirstStart: s.FirstStart, DrainTime: s.DrainTime, Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
-		MaxBufferedBytes: int64(bodyMemoryFraction * float64(s.MemoryBytes)),
+		Account: account,
 	})
 }
 
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -9,10 +9,12 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/internal/eventstream"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/upstream"
 	"github.com/laburnumring/laburnumring/pkg/clock"
@@ -21,9 +23,9 @@
 // Limits of answers that are buffered until they are complete.
 const (
 	maxBufferedAnswer = 1 << 20
-	// minBufferedAnswer are buffered of each answer, and maxBufferedAnswer while all buffers fit into the memory for bodies.
-	minBufferedAnswer = 64 << 10
-	streamBufferSize  = 4 << 10
+	// freeAnswer are buffered of each answer, and maxBufferedAnswer while the account has memory for answers.
+	freeAnswer       = 4 << 10
+	streamBufferSize = 4 << 10
 	// maxEvent limits the bytes of a stream that are buffered until their event ends.
 	maxEvent = 64 << 10
 )
@@ -43,17 +45,50 @@
 // answer is a server's complete answer.
 type answer struct {
 	resp *http.Response
-	body []byte
+	body ingress.Buffer
+	// transfer holds the memory of the body.
+	transfer *ingress.Transfer
+}
+
+// read reads the body up to its end or the limit, as far as there is memory. It reports whether it is complete.
+func (a *answer) read() (complete bool, err error) {
+	err = a.body.Read(io.LimitReader(a.resp.Body, freeAnswer), -1, nil)
+	if err != nil || a.body.Len() < freeAnswer {
+		return err == nil, err
+	}
+	err = a.body.Read(io.LimitReader(a.resp.Body, maxBufferedAnswer-freeAnswer), -1, a.transfer)
+	var full *ingress.FullError
+	if errors.As(err, &full) {
+		return false, nil
+	}
+	return err == nil && a.body.Len() < maxBufferedAnswer, err
+}
+
+// send sends the body to the caller. An answer that holds memory may be evicted while its caller does not read it.
+func (a *answer) send(c *call) error {
+	if a.body.Len() > freeAnswer {
+		a.transfer.Start(a.body.Len(), func() { _ = http.NewResponseController(c.w).SetWriteDeadline(time.Unix(1, 0)) })
+	}
+	if err := a.body.Send(c.w, a.transfer); err != nil {
+		return err
+	}
+	return a.transfer.Settle()
+}
+
+// release drops the body.
+func (a *answer) release() {
+	a.body.Release()
+	a.transfer.Release()
 }
 
 // write sends the answer to the caller.
 func (a *answer) write(c *call) {
 	c.commit(a.resp)
 	if c.framed && c.req.Method != http.MethodHead && a.resp.StatusCode != http.StatusNoContent {
-		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		c.w.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	}
 	c.w.WriteHeader(a.resp.StatusCode)
-	if _, err := c.w.Write(a.body); err != nil && c.req.Method != http.MethodHead {
+	if err := a.send(c); err != nil && c.req.Method != http.MethodHead {
 		c.result = resultCallerGone
 	}
 }
@@ -70,23 +105,17 @@
 			result: intake.Failed, err: fmt.Errorf("backend server answered a resumed stream with status %d", resp.StatusCode),
 		}
 	}
-	limit := int64(minBufferedAnswer)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
-	if err == nil && int64(len(body)) == limit && r.reserveAnswer() {
-		defer r.bufferedBytes.Add(-maxBufferedAnswer)
-		limit = maxBufferedAnswer
-		var rest []byte
-		rest, err = io.ReadAll(io.LimitReader(resp.Body, limit-int64(len(body))))
-		body = append(body, rest...)
-	}
+	a := &answer{resp: resp, transfer: r.o.Account.Open(ingress.Answer)}
+	c.replaceAnswer(a)
+	complete, err := a.read()
 	if err != nil {
 		return r.connectionLost(ctx, c, d, conn, err)
 	}
-	if int64(len(body)) == limit {
+	if !complete {
 		if resp.StatusCode >= http.StatusInternalServerError {
-			return r.connectionLost(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: limit})
+			return r.connectionLost(ctx, c, d, conn, &AnswerTooLongError{Server: d.Server.ID, Limit: a.body.Len()})
 		}
-		return r.forwardLong(ctx, c, d, conn, resp, body)
+		return r.forwardLong(ctx, c, d, conn, a)
 	}
 	r.pool.Release(conn, resp)
 	if resp.StatusCode < http.StatusInternalServerError {
@@ -95,7 +124,6 @@
 		}
 	}
 	r.recordStart(c)
-	a := &answer{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return attemptEnd{
 			result: intake.Failed, answer: a, err: fmt.Errorf("backend server failed the request: status %d", resp.StatusCode),
@@ -106,26 +134,26 @@
 	return attemptEnd{result: intake.Whole, final: true}
 }
 
-// reserveAnswer reserves the memory of a long answer; false if there is none.
-func (r *Router) reserveAnswer() bool {
-	if n := r.bufferedBytes.Add(maxBufferedAnswer); r.o.MaxBufferedBytes == 0 || n <= r.o.MaxBufferedBytes {
-		return true
+// replaceAnswer releases the answer of an earlier attempt and keeps a until the request ends.
+func (c *call) replaceAnswer(a *answer) {
+	if c.buffered != nil {
+		c.buffered.release()
 	}
-	r.bufferedBytes.Add(-maxBufferedAnswer)
-	return false
+	c.buffered = a
 }
 
-// forwardLong forwards an answer that is too long to be buffered. prefix is what has been read of it.
-func (r *Router) forwardLong(
-	ctx context.Context, c *call, d intake.Decision, conn *upstream.Conn, resp *http.Response, prefix []byte,
-) attemptEnd {
+// forwardLong forwards an answer that is too long to be buffered, or for which there is no memory. a holds what has been
+// read of it.
+func (r *Router) forwardLong(ctx context.Context, c *call, d intake.Decision, conn *upstream.Conn, a *answer) attemptEnd {
+	resp := a.resp
 	r.recordStart(c)
 	c.commit(resp)
 	c.w.WriteHeader(resp.StatusCode)
-	if _, err := c.w.Write(prefix); err != nil {
+	if err := a.send(c); err != nil {
 		_ = conn.Close()
 		return c.callerGone(err)
 	}
+	a.release()
 	_, err := io.Copy(c.w, resp.Body)
 	if err == nil {
 		err = r.checkEnd(ctx, c, d, resp)
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -224,10 +223,10 @@
 	}
 	out := &http.Request{
 		Method: c.req.Method, URL: u, Host: c.req.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(c.body)),
+		ContentLength: c.body.Len(),
 	}
-	if len(c.body) > 0 {
-		out.Body = io.NopCloser(bytes.NewReader(c.body))
+	if c.body.Len() > 0 {
+		out.Body = io.NopCloser(c.body.Reader())
 	}
 	return out
 }
--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,8 +14,8 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/eventstream"
 	"github.com/laburnumring/laburnumring/internal/httpserve"
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/intake"
-	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 	"github.com/laburnumring/laburnumring/pkg/route"
 )
@@ -32,12 +29,11 @@
 	route   route.Route
 	service string
 	team    string
-	body    []byte
-	// buffered is how many bytes of the body count towards Router.bufferedBytes.
-	buffered int64
-	// pooledBody is the body's pooled buffer, which is returned to the pool when the request ends; nil if the body was
-	// not read into one.
-	pooledBody *[]byte
+	body    ingress.Buffer
+	// bodyTransfer holds the memory of the body until the request ends.
+	bodyTransfer *ingress.Transfer
+	// buffered is the buffered answer of the latest attempt; nil if there is none.
+	buffered *answer
 	// fingerprint identifies the request's content. It is the same each time that the request is sent.
 	fingerprint uint64
 	// parts are the hashes of the prompt's shared parts.
@@ -92,7 +88,6 @@
 const (
 	// defaultTimeout applies to routes without a timeout.
 	defaultTimeout = 1 * clock.Minute
-	defaultMaxBody = 8 << 20
 	// writeMargin is how long after a request's deadline its last bytes may still be written.
 	writeMargin = 1 * time.Second
 	// expectedOutputFraction is the fraction of the maximum output tokens that a request without a length hint is
@@ -110,8 +105,9 @@
 	// An earlier request on the connection may have left a deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeMargin))
 	defer func() {
-		r.bufferedBytes.Add(-c.buffered)
-		c.releaseBody()
+		c.body.Release()
+		c.bodyTransfer.Release()
+		c.replaceAnswer(nil)
 	}()
 	if !r.read(c) {
 		return
@@ -201,20 +197,9 @@
 			return r.reject(c, http.StatusUnauthorized, "key_unknown")
 		}
 	}
-	if n := max(0, c.req.ContentLength); r.o.MaxBufferedBytes > 0 && r.bufferedBytes.Load()+n > r.o.MaxBufferedBytes {
-		// A router that stays at this limit leaves the rotation like one without processor time.
-		r.ShedStarted()
-		return r.reject(c, http.StatusServiceUnavailable, "router_full")
+	if status, reason := r.readBody(c, t.Limits()); status != 0 {
+		return r.reject(c, status, reason)
 	}
-	if c.body, err = readBody(c, t.Limits()); err != nil {
-		var tooLong *http.MaxBytesError
-		if errors.As(err, &tooLong) {
-			return r.reject(c, http.StatusRequestEntityTooLarge, "body_too_long")
-		}
-		return r.reject(c, http.StatusBadRequest, "body_broken")
-	}
-	c.buffered = int64(len(c.body))
-	r.bufferedBytes.Add(c.buffered)
 	now = r.o.Clock.Now()
 	r.mu.Lock()
 	admitted := r.admits(now, c)
@@ -239,47 +224,18 @@
 	return n
 }
 
-func readBody(c *call, l routing.Limits) ([]byte, error) {
-	limit := l.BodyBytes
-	if limit == 0 {
-		limit = defaultMaxBody
-	}
-	if c.req.ContentLength > limit {
-		return nil, &http.MaxBytesError{Limit: limit}
-	}
-	body := http.MaxBytesReader(c.w, c.req.Body, limit)
-	if c.req.ContentLength < 0 {
-		return io.ReadAll(body)
-	}
-	c.pooledBody = bodyPool.Get().(*[]byte) //nolint:forcetypeassert // The pool holds nothing else.
-	data := slices.Grow((*c.pooledBody)[:0], int(c.req.ContentLength))[:c.req.ContentLength]
-	*c.pooledBody = data
-	_, err := io.ReadFull(body, data)
-	return data, err
-}
-
-// bodyPool holds buffers of bodies whose requests have ended.
-var bodyPool = sync.Pool{New: func() any { return new([]byte) }}
-
-// maxPooledBody is the size of the largest buffer that is returned to bodyPool.
-const maxPooledBody = 64 << 10
-
-// releaseBody returns the body's buffer to the pool.
-func (c *call) releaseBody() {
-	c.body = nil
-	if c.pooledBody != nil && cap(*c.pooledBody) <= maxPooledBody {
-		bodyPool.Put(c.pooledBody)
+// routeTimeout returns the time limit of the request's route.
+func (c *call) routeTimeout() clock.Millis {
+	if limit := c.route.Timeout(); limit != 0 {
+		return limit
 	}
-	c.pooledBody = nil
+	return defaultTimeout
 }
 
 // resolve sets the deadline, fingerprint and service of a request that has been read completely.
 func (c *call) resolve(now clock.Millis) {
 	c.arrived = now
-	limit := c.route.Timeout()
-	if limit == 0 {
-		limit = defaultTimeout
-	}
+	limit := c.routeTimeout()
 	if c.head.Timeout > 0 {
 		limit = min(limit, c.head.Timeout)
 	}
@@ -288,7 +244,9 @@
 	for _, part := range []string{c.team, c.req.Method, c.req.RequestURI} {
 		_, _ = h.WriteString(part + "\n")
 	}
-	_, _ = h.Write(c.body)
+	for _, s := range c.body.Segments() {
+		_, _ = h.Write(s)
+	}
 	c.fingerprint = h.Sum64()
 	c.service = c.route.Service(float64(c.fingerprint>>11) / (1 << 53))
 	c.decided = make(chan intake.Decision, 1)
@@ -311,8 +269,13 @@
 	if status == http.StatusServiceUnavailable {
 		after = rejectRetryAfter
 	}
+	out := http.NewResponseController(c.w)
 	// The deadline set before the body was read may have passed.
-	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeMargin))
+	_ = out.SetWriteDeadline(time.Now().Add(writeMargin))
+	if c.req.ContentLength != 0 {
+		// net/http reads a part of what is left of the body, and would wait for it without an end.
+		_ = out.SetReadDeadline(time.Now().Add(writeMargin))
+	}
 	c.respond(status, reason, after)
 	return false
 }
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -16,6 +16,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/graceperiod"
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/lineage"
@@ -58,8 +59,8 @@
 	Evidence laburnumring.EvidenceLog
 	// Retry limits the repeated attempts of each service: Ratio applies to this router, Burst to all routers together.
 	Retry retrycap.Options
-	// MaxBufferedBytes limits the request bodies that are in memory at the same time, in bytes; 0 means no limit.
-	MaxBufferedBytes int64
+	// Account limits the memory of request bodies and buffered answers; nil means no limit.
+	Account *ingress.Account
 	// Capacity is the router's processor time in thousandths of a core; 0 if it is not known.
 	Capacity int
 	// DrainTime is how long a server that leaves accepts requests after its entry says so; two seconds if zero.
@@ -126,8 +127,6 @@
 	giveUpAll context.CancelFunc
 	// inbound is the number of callers' requests that have not been answered.
 	inbound atomic.Int64
-	// bufferedBytes is the total size of their bodies, and of the memory reserved for long answers.
-	bufferedBytes atomic.Int64
 	// outOfRotation is set while new connections should go to other routers.
 	outOfRotation atomic.Bool
 	// busy is set while the process has too little processor time for the requests in progress.
