direct: Limit the size of peers' messages, and close the oldest connection when all are taken

encoding/gob allocates up to ten megabytes by the size that a message announces, and takes messages of up to a gigabyte. A call has a few hundred bytes; messages over 4 KB end the connection. Connections that say nothing could occupy the 64 slots for a second each; now the oldest is closed for a new one.

--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -255,6 +255,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, maxPeerConns)
+	var conns peerConns
 	for {
 		conn, err := ln.Accept()
 		switch {
@@ -264,11 +265,13 @@
 			interval.Sleep(ctx, retryPause)
 			continue
 		}
+		conns.add(conn, maxPeerConns)
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			defer conns.remove(conn)
 			if conn.SetDeadline(time.Now().Add(peerTimeout)) == nil {
-				srv.ServeConn(conn)
+				srv.ServeConn(&peerConn{Conn: conn})
 			}
 			_ = conn.Close()
 		})
