httpserve: Measure request heads on their connections, and close unused connections at the limit

A head is counted as it is received, with the empty lines before it. Over five times the configuration's limit and 8 KB it is refused with 431; the limit counts names and values only, so no head within it is that long. What exceeds the read buffer is charged to the account. The head timeout applies from the first byte of every head; on a connection that was used before, the idle timeout ran on while the next head arrived. At the maximum of connections, the callers' listener closes one on which nothing has arrived for a second, instead of resetting new ones. The listeners for readiness and metrics get limits of their own: 32 connections, heads of 8 KB, ten seconds for an answer.

--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -49,6 +49,17 @@
 	defaultIdleTimeout = 20 * time.Second
 	// maxHeaderBytes is the longest request header that is read; the configuration's limit is lower.
 	maxHeaderBytes = 256 << 10
+	// headSeparators and headSlack relate the length of a head to the configuration's limit. The slack covers the request
+	// line, and the part of a body that is read together with the head.
+	headSeparators = 5
+	headSlack      = 8 << 10
+	// unusedTime is how long a connection on which nothing was received is kept while the maximum of connections is open.
+	unusedTime = 1 * time.Second
+	// ownMaxConns, ownMaxHeaderBytes and ownWriteTimeout limit the listeners for readiness and metrics. The balancer and
+	// the collectors of metrics send heads of a few hundred bytes on a few connections.
+	ownMaxConns       = 32
+	ownMaxHeaderBytes = 8 << 10
+	ownWriteTimeout   = 10 * time.Second
 	// headMemoryFraction, bodyMemoryFraction and answerMemoryFraction are the fractions of memory that request heads,
 	// request bodies and buffered answers may occupy. With what the process needs at rest, callers' connections and the
 	// memory that the garbage collector has not reclaimed yet, they stay below the limit of the smallest routers.
@@ -104,7 +115,7 @@
 		background.Go(func() {
 			gcpace.Run(ctx, gcpace.Options{NormalPercent: lowRateGC, BusyPercent: highRateGC, BusyRate: highRequestRate, Count: r.Requests})
 		})
-		return servePlatform(ctx, s, r, *metrics, logger)
+		return servePlatform(ctx, s, r, account, *metrics, logger)
 	}
 }
 
@@ -149,7 +160,7 @@
 
 // servePlatform serves callers, the load balancer's readiness probe and metrics while r runs.
 func servePlatform(
-	ctx context.Context, s platform.Settings, r *direct.Router, metricsPort uint16, logger *event.Logger,
+	ctx context.Context, s platform.Settings, r *direct.Router, account *ingress.Account, metricsPort uint16, logger *event.Logger,
 ) error {
 	ready := mux.NewRouter()
 	ready.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -173,22 +184,39 @@
 	if err != nil {
 		return errorx.Decorate(err, "listen for callers")
 	}
+	// own adds the limits of the listeners for readiness and metrics, which need few connections and short heads.
+	own := func(l httpserve.Listener) httpserve.Listener {
+		l.CloseTimeout, l.WriteTimeout, l.Account = closeTimeout, ownWriteTimeout, account
+		l.MaxConns, l.UnusedTime, l.MaxHeaderBytes = ownMaxConns, time.Millisecond, ownMaxHeaderBytes
+		l.MaxHead = func() int { return ownMaxHeaderBytes }
+		return l
+	}
 	softConns := min(int(connFileFraction*float64(s.MaxFiles)), int(connMemoryFraction*float64(s.MemoryBytes)/bytesPerConn))
 	return httpserve.Serve(ctx, r.Run,
 		httpserve.Listener{
 			Net: callers, Handler: r.Handler(), CloseTimeout: closeTimeout, IdleTimeout: defaultIdleTimeout, Limits: r.Limits,
-			MaxHeaderBytes: maxHeaderBytes, MaxKeepAliveConns: softConns, MaxConns: int(maxConnsFactor * float64(softConns)),
+			MaxHeaderBytes: maxHeaderBytes, MaxHead: func() int { return maxHead(r.HeaderBytes()) }, Account: account,
+			UnusedTime: unusedTime, KeepUsed: true, MaxKeepAliveConns: softConns, MaxConns: int(maxConnsFactor * float64(softConns)),
 			Saturated: r.Saturated, Busy: r.Busy, Reopen: reopen,
 			ConnsPerSecond: float64(s.Capacity) / refusedConnMs, ShedStarted: r.ShedStarted, ShedEnded: r.ShedEnded,
 		},
-		httpserve.Listener{Address: s.Ready.String(), Handler: ready, CloseTimeout: closeTimeout},
-		httpserve.Listener{
+		own(httpserve.Listener{Address: s.Ready.String(), Handler: ready}),
+		own(httpserve.Listener{
 			Address: net.JoinHostPort(s.Callers.Addr().String(), strconv.Itoa(int(metricsPort))), Handler: metrics,
-			CloseTimeout: closeTimeout,
-		},
+		}),
 	)
 }
 
+// maxHead returns the maximum length of a head as it is received, 0 if the configuration does not limit it. Its limit
+// counts names and values only: the colon, a space and the line end add four bytes to each header, of which each has at
+// least one.
+func maxHead(headerBytes int) int {
+	if headerBytes == 0 {
+		return 0
+	}
+	return headSeparators*headerBytes + headSlack
+}
+
 // reloadOnHangup reads the settings file again at each SIGHUP and logs whether it is valid. The running router keeps
 // the settings that it started with.
 func reloadOnHangup(ctx context.Context, hangup <-chan os.Signal, logger *event.Logger, file string) {
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -321,6 +321,14 @@
 	return t.Limits().HeaderTimeout.Duration(), t.Limits().IdleTimeout.Duration()
 }
 
+// HeaderBytes returns the maximum size of a request's header according to the configuration in force; 0 for no limit.
+func (r *Router) HeaderBytes() int {
+	if t := r.table.Load(); t != nil {
+		return t.Limits().HeaderBytes
+	}
+	return 0
+}
+
 // Requests returns the number of requests received since the start.
 func (r *Router) Requests() int64 { return r.requestCount.Load() }
 
--- a/internal/httpserve/gate.go
+++ b/internal/httpserve/gate.go
@@ -24,6 +24,10 @@
 	busy func() bool
 	// rate limits the new connections; nil means no limit.
 	rate *rate.Limiter
+	// makeRoom closes a connection that is not in use and reports whether there was one; nil means that none is closed.
+	makeRoom func() bool
+	// measure returns the meter of a new connection; nil means that heads are not measured.
+	measure func() *headMeter
 	// slots holds an entry for each open connection; nil means no limit.
 	slots chan struct{}
 	// closed is closed by Close.
@@ -81,7 +85,7 @@
 
 // Accept implements net.Listener.
 func (cl *connLimiter) Accept() (net.Conn, error) {
-	for cl.open != nil && (cl.atMaxConns() || cl.accepted && (time.Since(cl.openedAt) >= minOpenTime || cl.atMaxDebt()) && cl.overloaded()) {
+	for cl.open != nil && (cl.atMaxConns() && !cl.closeUnused() || cl.accepted && (time.Since(cl.openedAt) >= minOpenTime || cl.atMaxDebt()) && cl.overloaded()) {
 		if err := cl.shed(); err != nil {
 			return nil, err
 		}
@@ -116,6 +120,9 @@
 // atMaxConns reports whether the maximum number of connections is open.
 func (cl *connLimiter) atMaxConns() bool { return cl.slots != nil && len(cl.slots) == cap(cl.slots) }
 
+// closeUnused closes a connection that is not in use and reports whether there was one.
+func (cl *connLimiter) closeUnused() bool { return cl.makeRoom != nil && cl.makeRoom() }
+
 // overloaded reports whether new connections are to be shed because of processor time or of their rate.
 func (cl *connLimiter) overloaded() bool {
 	return cl.saturated != nil && cl.saturated() || cl.rate != nil && cl.rate.Tokens() < 1
@@ -163,26 +170,56 @@
 
 // accept waits for a free slot and returns the next connection.
 func (cl *connLimiter) accept() (net.Conn, error) {
-	if cl.slots != nil {
-		select {
-		case cl.slots <- struct{}{}:
-		case <-cl.closed:
-			return nil, net.ErrClosed
-		}
+	if !cl.takeSlot() {
+		return nil, net.ErrClosed
 	}
 	c, err := cl.listener().Accept()
-	if cl.slots == nil {
-		return c, err
-	}
 	if err != nil {
-		<-cl.slots
+		cl.freeSlot()
 		return nil, err
 	}
-	free := sync.OnceFunc(func() { <-cl.slots })
+	if cl.slots == nil && cl.measure == nil {
+		return c, nil
+	}
+	head := &headMeter{}
+	if cl.measure != nil {
+		head = cl.measure()
+	}
+	free := sync.OnceFunc(func() {
+		head.close()
+		cl.freeSlot()
+	})
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &limitedTCPConn{TCPConn: tcp, free: free}, nil
+		return &limitedTCPConn{TCPConn: tcp, head: head, free: free}, nil
+	}
+	return &limitedConn{Conn: c, head: head, free: free}, nil
+}
+
+// takeSlot waits for a free slot. It closes unused connections if there is none, and returns false after Close.
+func (cl *connLimiter) takeSlot() bool {
+	if cl.slots == nil {
+		return true
+	}
+	for {
+		var retry <-chan time.Time
+		if cl.atMaxConns() && cl.makeRoom != nil {
+			cl.makeRoom()
+			retry = time.After(shedPollInterval)
+		}
+		select {
+		case cl.slots <- struct{}{}:
+			return true
+		case <-cl.closed:
+			return false
+		case <-retry:
+		}
+	}
+}
+
+func (cl *connLimiter) freeSlot() {
+	if cl.slots != nil {
+		<-cl.slots
 	}
-	return &limitedConn{Conn: c, free: free}, nil
 }
 
 // Close implements net.Listener.
@@ -194,12 +231,18 @@
 	return nil
 }
 
-// limitedTCPConn frees its slot when it is closed.
+// limitedTCPConn measures the heads of its requests, and frees its slot when it is closed.
 type limitedTCPConn struct {
 	*net.TCPConn
+	head *headMeter
 	free func()
 }
 
+// Read implements net.Conn.
+func (c *limitedTCPConn) Read(p []byte) (int, error) { return c.head.read(c.TCPConn, p) }
+
+func (c *limitedTCPConn) meter() *headMeter { return c.head }
+
 // Close implements net.Conn.
 func (c *limitedTCPConn) Close() error {
 	defer c.free()
@@ -209,9 +252,15 @@
 // limitedConn is limitedTCPConn for connections of other types.
 type limitedConn struct {
 	net.Conn
+	head *headMeter
 	free func()
 }
 
+// Read implements net.Conn.
+func (c *limitedConn) Read(p []byte) (int, error) { return c.head.read(c.Conn, p) }
+
+func (c *limitedConn) meter() *headMeter { return c.head }
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	defer c.free()
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/refusal"
 )
@@ -47,6 +48,18 @@
 	Limits func() (header, idle time.Duration)
 	// MaxHeaderBytes is the maximum length of a header; 64 KiB if zero.
 	MaxHeaderBytes int
+	// MaxHead returns the maximum length of a head as it is received, with the empty lines before it; 0 means no limit
+	// beyond MaxHeaderBytes. It may be nil.
+	MaxHead func() int
+	// Account limits the memory of heads that are being read; it may be nil.
+	Account *ingress.Account
+	// WriteTimeout limits the time of an answer; no limit if zero. Handlers may set deadlines of their own.
+	WriteTimeout time.Duration
+	// UnusedTime is for how long a connection without a request is kept open while MaxConns connections are open; the one
+	// that has waited longest is closed first. Zero means that none is closed. With KeepUsed, only connections on which
+	// nothing was ever received are closed.
+	UnusedTime time.Duration
+	KeepUsed   bool
 	// MaxConns is the maximum number of connections that are served at a time; 0 means no limit. Further connections
 	// are reset if Reopen is set, and wait in the kernel's queue otherwise.
 	MaxConns int
@@ -151,8 +164,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.MaxConns > 0 || l.Reopen != nil {
-		ln = newConnLimiter(ln, l)
+	w := newWatcher(l.Refusals, l.MaxKeepAliveConns)
+	if l.MaxConns > 0 || l.Reopen != nil || l.MaxHead != nil || l.Account != nil {
+		cl := newConnLimiter(ln, l)
+		cl.measure = func() *headMeter { return newHeadMeter(l) }
+		if l.UnusedTime > 0 {
+			cl.makeRoom = func() bool { return w.closeUnused(time.Now(), l.UnusedTime, l.KeepUsed) }
+		}
+		ln = cl
 	}
 	if l.TLS != nil {
 		ln = tls.NewListener(ln, l.TLS)
@@ -167,8 +186,8 @@
 			return cmp.Or(header, l.HeaderTimeout), cmp.Or(idle, l.IdleTimeout)
 		}
 	}
-	w := newWatcher(l.Refusals, l.MaxKeepAliveConns)
 	srv := &http.Server{
+		WriteTimeout:   l.WriteTimeout,
 		Handler:        w.wrap(l.Handler),
 		MaxHeaderBytes: l.MaxHeaderBytes,
 		ErrorLog:       w.errorLog(),
--- a/internal/httpserve/watcher.go
+++ b/internal/httpserve/watcher.go
@@ -42,6 +42,10 @@
 	// phase is what the connection is doing, since the given time.
 	phase phase
 	since time.Time
+	// head measures the heads that arrive; nil if they are not measured.
+	head *headMeter
+	// requests is the number of requests received.
+	requests int
 	// expired is set once net/http was made to close the connection, unless it has read a request meanwhile.
 	expired bool
 }
@@ -119,10 +123,19 @@
 	defer w.mu.Unlock()
 	v, ok := w.conns[c]
 	if !ok {
-		v = &connection{}
+		v = &connection{head: meterOf(c)}
 		w.conns[c] = v
 	}
 	v.unhandled += headers
+	switch {
+	case p == phaseServing:
+		v.requests++
+		if v.head != nil {
+			v.head.complete()
+		}
+	case p == phaseIdle && v.head != nil:
+		v.head.expect()
+	}
 	v.phase, v.since = p, time.Now()
 	if v.expired && p != phaseIdle {
 		v.expired = false
@@ -149,12 +162,60 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c, v := range w.conns {
-		waited := now.Sub(v.since)
-		if (v.phase == phaseHeader && waited > header || v.phase == phaseIdle && waited > idle) && peek.Check(c) != peek.Readable {
-			// Any time in the past makes reads fail.
-			v.expired = c.SetReadDeadline(time.Unix(1, 0)) == nil
+		p, since := v.waitsFor()
+		waited := now.Sub(since)
+		if (p == phaseHeader && waited > header || p == phaseIdle && waited > idle) && peek.Check(c) != peek.Readable {
+			v.expire(c)
+		}
+	}
+}
+
+// waitsFor returns the connection's phase and its beginning. The next head on a connection has begun with its first byte,
+// which net/http does not report.
+func (v *connection) waitsFor() (phase, time.Time) {
+	if began, ok := v.incomplete(); ok && v.phase == phaseIdle {
+		return phaseHeader, began
+	}
+	return v.phase, v.since
+}
+
+// incomplete reports whether a part of a head has arrived, and since when.
+func (v *connection) incomplete() (time.Time, bool) {
+	if v.head == nil {
+		return time.Time{}, false
+	}
+	return v.head.incomplete()
+}
+
+// expire makes the reads of the connection fail.
+func (v *connection) expire(c net.Conn) {
+	// Any time in the past makes reads fail.
+	v.expired = c.SetReadDeadline(time.Unix(1, 0)) == nil
+}
+
+// closeUnused closes the connection that has waited longest for a request, like sweep, if that is longer than the given
+// time. It reports whether there is one. With keepUsed it closes only connections on which nothing was ever received.
+func (w *watcher) closeUnused(now time.Time, limit time.Duration, keepUsed bool) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var longest net.Conn
+	for c, v := range w.conns {
+		if v.phase == phaseServing || v.expired || now.Sub(v.since) < limit {
+			continue
+		}
+		_, begun := v.incomplete()
+		if keepUsed && (begun || v.requests > 0) || !begun && peek.Check(c) == peek.Readable {
+			continue
 		}
+		if longest == nil || v.since.Before(w.conns[longest].since) {
+			longest = c
+		}
+	}
+	if longest == nil {
+		return false
 	}
+	w.conns[longest].expire(longest)
+	return true
 }
 
 // closeIdle closes the idle connections like sweep, and waits until they are closed, at most for the given time.
