--- a/internal/commands/platform.go
+++ b/internal/commands/platform.go
@@ -16,6 +16,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/gorilla/mux"
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/laburnumring/laburnumring/internal/deadpeer"
 	"github.com/laburnumring/laburnumring/internal/direct"
@@ -154,7 +155,7 @@
 			Window: s.RetryWindow, Ratio: retryRatioFraction * s.RetryRatio, Burst: s.RetryBurst,
 		},
 		FirstStart: s.FirstStart, DrainTime: s.DrainTime, Grace: s.Grace, Capacity: s.Capacity, Logger: logger, Summaries: summaries,
-		Account: account,
+		Account: account, Collectors: []prometheus.Collector{ingress.NewCollector(account)},
 	})
 }
 
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -368,8 +368,10 @@
 
 // prune removes expired state at regular intervals and updates the gauges.
 func (r *Router) prune(ctx context.Context) {
+	counts := make(ingressCounts)
 	interval.Every(ctx, pruneInterval, func() {
 		r.pool.Prune()
+		counts.log(r.o.Account, r.o.Logger)
 		now := r.o.Clock.Now()
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -30,6 +30,7 @@
 	SettingsReloaded        = Event{1007, log.InfoLevel, "settings read again"}
 	OverloadChanged         = Event{1009, log.WarnLevel, "processor overload changed"}
 	ListenerNotOpened       = Event{1010, log.WarnLevel, "listener not opened again"}
+	CallersMemoryFull       = Event{1012, log.WarnLevel, "callers' memory full"}
 	RouterLoad              = Event{1011, log.InfoLevel, "router's load"}
 	LinesDropped            = Event{1008, log.WarnLevel, "log lines dropped"}
 	AgentReady              = Event{3001, log.InfoLevel, "agent ready"}
@@ -93,7 +94,7 @@
 		ConfigNotExchanged,
 		ListUnreachable, ListReachable, ServersChanged, PlatformRecordBad, PeerMessageBad, PeerStateReceived,
 		StoreRestored, StoreEraInvalid, VersionsAdmitted, VersionsConfirmed, VersionForgotten, LineageUnreachable, EvidenceRead, EvidenceUnreachable,
-		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, RouterLoad,
+		SettingsReloaded, LinesDropped, OverloadChanged, ListenerNotOpened, CallersMemoryFull, RouterLoad,
 		RequestSent, RequestNotAdmitted, RequestEnded, AttemptFailed, RequestBroken, StreamTakenUp, TeamShare, ServerAddressReassigned, ServerUnreachable,
 		ServerLeaves, ReplyHeaderInvalid, ServerPauses,
 		AgentReady, AgentSilent, AgentLeaving,
--- a/internal/httpserve/head_test.go
+++ b/internal/httpserve/head_test.go
@@ -54,15 +54,20 @@
 					t.Fatal(err)
 				}
 				resp, err := http.ReadResponse(r, nil)
-				if err != nil || !strings.HasPrefix(resp.Status, tt.want) {
-					t.Fatalf("answer %v, error %v, want %s", resp, err, tt.want)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if !strings.HasPrefix(resp.Status, tt.want) {
+					t.Fatalf("status %s, want %s", resp.Status, tt.want)
 				}
 				if tt.want != "200" {
+					_ = resp.Body.Close()
 					break
 				}
 				if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 					t.Fatal(err)
 				}
+				_ = resp.Body.Close()
 			}
 			_ = conn.Close()
 			for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
@@ -132,7 +137,9 @@
 	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
-		t.Error(err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
 	}
+	_ = resp.Body.Close()
 }
--- a/internal/ingress/account.go
+++ b/internal/ingress/account.go
@@ -69,7 +69,8 @@
 
 	mu sync.Mutex
 	// used is the memory charged, and leaving the part of it that evicted transfers hold.
-	used, leaving, evictions [kinds]int64
+	used, leaving [kinds]int64
+	counts        [kinds]Counts
 	// active holds the transfers in progress.
 	active map[*Transfer]struct{}
 	// freed is closed and replaced when memory is released while charges wait for it.
@@ -103,20 +104,20 @@
 	return a.used[kind], a.limits[kind]
 }
 
-// Evictions returns how many transfers of a kind were evicted.
-func (a *Account) Evictions(kind Kind) int64 {
+// Counts are what an account has done for lack of memory since its creation.
+type Counts struct {
+	// Evicted is the number of transfers that were evicted, and Refused that of charges that were refused.
+	Evicted, Refused int64
+}
+
+// Counts returns the counts of a kind.
+func (a *Account) Counts(kind Kind) Counts {
 	if a == nil {
-		return 0
+		return Counts{}
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.evictions[kind]
-}
-
-// Full reports whether more than the given fraction of a kind's portion is used.
-func (a *Account) Full(kind Kind, fraction float64) bool {
-	used, limit := a.Used(kind)
-	return limit > 0 && float64(used) > fraction*float64(limit)
+	return a.counts[kind]
 }
 
 // reserve charges n bytes to a transfer if they fit. Otherwise it returns the transfer to evict, nil if the charge can
@@ -141,11 +142,12 @@
 	}
 	victim = slowest(now, list)
 	if victim == nil || victim == t || victim.timeLeft(now) < minTimeLeft {
+		a.counts[k].Refused++
 		return nil, false, false
 	}
 	victim.evicted = true
 	a.leaving[k] += victim.held
-	a.evictions[k]++
+	a.counts[k].Evicted++
 	return victim, false, true
 }
 
--- a/internal/ingress/transfer.go
+++ b/internal/ingress/transfer.go
@@ -90,6 +90,9 @@
 		}
 		a.mu.Lock()
 		a.waiting--
+		if err != nil {
+			a.counts[t.kind].Refused++
+		}
 		a.mu.Unlock()
 		if err != nil {
 			return err
