--- a/internal/router/http.go
+++ b/internal/router/http.go
@@ -237,6 +237,10 @@
 		if errors.As(err, &tooLong) {
 			return &badRequestError{http.StatusRequestEntityTooLarge, "body_too_long", "at most 8 MiB"}
 		}
+		var full *badRequestError
+		if errors.As(err, &full) {
+			return full
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return &badRequestError{http.StatusRequestTimeout, "body_slow", "the body did not arrive in time"}
 		}
