direct: Answer a rejected request although its body does not arrive

net/http reads a part of an unread body before it writes the answer, and waited for it beyond the answer's deadline. It now waits half of that. TestRejectedRequestIsAnsweredBeforeItsBody fails without the change.

--- a/internal/direct/call.go
+++ b/internal/direct/call.go
@@ -273,8 +273,9 @@
 	// The deadline set before the body was read may have passed.
 	_ = out.SetWriteDeadline(time.Now().Add(writeMargin))
 	if c.req.ContentLength != 0 {
-		// net/http reads a part of what is left of the body, and would wait for it without an end.
-		_ = out.SetReadDeadline(time.Now().Add(writeMargin))
+		// net/http reads a part of what is left of the body before it answers, and would wait for it without an end. The
+		// answer must be written before its own deadline.
+		_ = out.SetReadDeadline(time.Now().Add(writeMargin / 2))
 	}
 	c.respond(status, reason, after)
 	return false
