--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -17,6 +17,7 @@
 	"github.com/laburnumring/laburnumring/internal/event"
 	"github.com/laburnumring/laburnumring/internal/gossip"
 	"github.com/laburnumring/laburnumring/internal/graceperiod"
+	"github.com/laburnumring/laburnumring/internal/ingress"
 	"github.com/laburnumring/laburnumring/internal/intake"
 	"github.com/laburnumring/laburnumring/internal/interval"
 	"github.com/laburnumring/laburnumring/internal/lineage"
@@ -59,8 +60,8 @@
 	Evidence laburnumring.EvidenceLog
 	// Retry limits the repeated attempts of each service: Ratio applies to this router, Burst to all routers together.
 	Retry retrycap.Options
-	// MaxBufferedBytes limits the request bodies that are in memory at the same time, in bytes; 0 means no limit.
-	MaxBufferedBytes int64
+	// Account limits the memory of request bodies and buffered answers; nil means no limit.
+	Account *ingress.Account
 	// ColdOverage and ColdSlack bound the requests that a cold server gets in any second from all routers: its service's
 	// rate times ColdOverage plus ColdSlack. No server is treated as cold if ColdOverage is 0.
 	ColdOverage float64
@@ -131,8 +132,6 @@
 	giveUpAll context.CancelFunc
 	// inbound is the number of callers' requests that have not been answered.
 	inbound atomic.Int64
-	// bufferedBytes is the total size of their bodies, and of the memory reserved for long answers.
-	bufferedBytes atomic.Int64
 	// outOfRotation is set while new connections should go to other routers.
 	outOfRotation atomic.Bool
 	// busy is set while the process has too little processor time for the requests in progress.
@@ -334,6 +333,14 @@
 	return t.Limits().HeaderTimeout.Duration(), t.Limits().IdleTimeout.Duration()
 }
 
+// HeaderBytes returns the maximum size of a request's header according to the configuration in force; 0 for no limit.
+func (r *Router) HeaderBytes() int {
+	if t := r.table.Load(); t != nil {
+		return t.Limits().HeaderBytes
+	}
+	return 0
+}
+
 // Requests returns the number of requests received since the start.
 func (r *Router) Requests() int64 { return r.requestCount.Load() }
 
@@ -373,8 +380,10 @@
 
 // prune removes expired state at regular intervals and updates the gauges.
 func (r *Router) prune(ctx context.Context) {
+	counts := make(ingressCounts)
 	interval.Every(ctx, pruneInterval, func() {
 		r.pool.Prune()
+		counts.log(r.o.Account, r.o.Logger)
 		now := r.o.Clock.Now()
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/direct/peers.go
+++ b/internal/direct/peers.go
@@ -258,6 +258,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, maxPeerConns)
+	var conns peerConns
 	for {
 		conn, err := ln.Accept()
 		switch {
@@ -267,11 +268,13 @@
 			interval.Sleep(ctx, retryPause)
 			continue
 		}
+		conns.add(conn, maxPeerConns)
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
+			defer conns.remove(conn)
 			if conn.SetDeadline(time.Now().Add(peerTimeout)) == nil {
-				srv.ServeConn(conn)
+				srv.ServeConn(&peerConn{Conn: conn})
 			}
 			_ = conn.Close()
 		})
