--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -2,13 +2,16 @@
 // before.
 package forecast
 
-import "github.com/laburnumring/laburnumring/pkg/clock"
+import (
+	"github.com/laburnumring/laburnumring/internal/linefit"
+	"github.com/laburnumring/laburnumring/pkg/clock"
+)
 
 // Forecast fits a line to the times observed at a service's engines, and a factor for each server. It is not safe for
 // concurrent use.
 type Forecast struct {
-	// Sums over the observations, which decay with each later one.
-	n, x, y, xx, xy float64
+	// fitted holds the observations, which decay with each later one.
+	fitted linefit.Line
 	// slowness holds the exponentially decayed ratio of observed to predicted times by server.
 	slowness map[string]float64
 }
@@ -78,20 +81,14 @@
 	return a + b*x
 }
 
-func (f *Forecast) add(x, y, weight float64) {
-	f.n = decay*f.n + weight
-	f.x = decay*f.x + weight*x
-	f.y = decay*f.y + weight*y
-	f.xx = decay*f.xx + weight*x*x
-	f.xy = decay*f.xy + weight*x*y
-}
+func (f *Forecast) add(x, y, weight float64) { f.fitted.Add(x, y, weight, decay) }
 
 // fit returns the base and the slope of the line, in milliseconds and milliseconds per token.
 func (f *Forecast) fit() (base, slope float64) {
-	spread := f.n*f.xx - f.x*f.x
-	if spread <= 0 {
+	slope, ok := f.fitted.Slope(0)
+	if !ok {
 		return priorBase, priorSlope
 	}
-	slope = max(minSlope, (f.n*f.xy-f.x*f.y)/spread)
-	return max(1, (f.y-slope*f.x)/f.n), slope
+	slope = max(minSlope, slope)
+	return max(1, f.fitted.Base(slope)), slope
 }
