serverspeed: Share the reports of a router's services

The sums of what other routers report are kept once for all services, as a report names servers but not their services.

--- a/internal/serverspeed/estimate.go
+++ b/internal/serverspeed/estimate.go
@@ -76,7 +76,7 @@
 	}
 	var p peerSum
 	if now >= s.peersFrom {
-		p = t.peers[key]
+		p = t.reports.sums[key]
 	}
 	switch {
 	case p.n == 0 && !s.differs:
@@ -94,9 +94,6 @@
 	if e.Slowness > 1 && now-s.slowSince >= settleTime {
 		s.lowerCap(now, 1/e.Slowness)
 		e.Fraction = min(e.Fraction, s.currentCap(now))
-		if now%probePeriod < probeTime {
-			e.Fraction = max(minFraction, probeFraction*e.Fraction)
-		}
 	} else {
 		e.Slowness = 1
 	}
--- a/internal/serverspeed/report.go
+++ b/internal/serverspeed/report.go
@@ -57,15 +57,19 @@
 	return e
 }
 
-// Report adds to a report the servers that differ by this router's own observations. It also adds those that differ by
+// Report adds to out, which may be nil, the servers that differ by this router's own observations. It also adds those that differ by
 // what others report, if this router has observed them: the mean of all then stands for the evidence of all.
-func (t *Table) Report(now clock.Millis, out map[Key]Speed) {
+func (t *Table) Report(now clock.Millis, out map[Key]Speed) map[Key]Speed {
 	t.refresh(now)
 	for key, s := range t.servers {
-		if s.differs || t.peers[key].estimate().Differs() && t.observed(now, s) {
+		if s.differs || t.reports.sums[key].estimate().Differs() && t.observed(now, s) {
+			if out == nil {
+				out = make(map[Key]Speed)
+			}
 			out[key] = speedOf(s.report(now))
 		}
 	}
+	return out
 }
 
 // observed reports whether this router has observations of its own of a server.
@@ -73,15 +77,29 @@
 	return s.work.weight(now) >= minReportWeight || s.percentAt > 0 && now-s.percentAt <= percentTTL
 }
 
-// Add adds what a peer reports for a server, Remove takes it back.
-func (t *Table) Add(key Key, v Speed) { t.peers[key] = t.peers[key].plus(v.sum()) }
+// Reports sums what the other routers report. The tables of all services of a router share it.
+type Reports struct {
+	sums map[Key]peerSum
+}
+
+// NewReports returns sums of no reports.
+func NewReports() *Reports { return &Reports{sums: make(map[Key]peerSum)} }
+
+// Add adds what a router reports.
+func (r *Reports) Add(speeds map[Key]Speed) {
+	for key, v := range speeds {
+		r.sums[key] = r.sums[key].plus(v.sum())
+	}
+}
 
 // Remove removes what was added.
-func (t *Table) Remove(key Key, v Speed) {
-	p, sum := t.peers[key], v.sum()
-	if p.n <= 1 {
-		delete(t.peers, key)
-		return
+func (r *Reports) Remove(speeds map[Key]Speed) {
+	for key, v := range speeds {
+		p, sum := r.sums[key], v.sum()
+		if p.n <= 1 {
+			delete(r.sums, key)
+			continue
+		}
+		r.sums[key] = peerSum{n: p.n - 1, slowness: p.slowness - sum.slowness, fraction: p.fraction - sum.fraction}
 	}
-	t.peers[key] = peerSum{n: p.n - 1, slowness: p.slowness - sum.slowness, fraction: p.fraction - sum.fraction}
 }
--- a/internal/serverspeed/serverspeed.go
+++ b/internal/serverspeed/serverspeed.go
@@ -18,8 +18,8 @@
 type Work struct {
 	// Kind is the kind of work; only times of the same kind are compared. Kinds beyond the first maxKinds are not
 	// observed.
-	Kind string
-	// Took is the observed time in milliseconds.
+	Kind int64
+	// Took is the observed time, in any unit.
 	Took float64
 	// Load is the number of requests at the server as a fraction of its slots.
 	Load float64
@@ -31,23 +31,22 @@
 type Table struct {
 	servers map[Key]*server
 	// expected holds the time of each kind of work by load, of all servers together.
-	expected map[string]*evidence
+	expected map[int64]*evidence
 	// deviation is the exponentially decayed mean distance of a relative time from the mean of its server.
 	deviation float64
 	// usualPercent is the exponentially decayed mean of the slowness that the servers state, in percent; 0 if none has
 	// stated one.
 	usualPercent float64
 	refreshedAt  clock.Millis
-	// peers sums what other routers reported.
-	peers map[Key]peerSum
+	reports      *Reports
 	// changes holds the changes that TakeChanges has not returned yet; at most maxChanges.
 	changes []Change
 }
 
 // server holds the observations of one server and the estimates from them.
 type server struct {
-	// read holds the relative times until first events, work those of running requests by load.
-	read, work evidence
+	// work holds the relative times of work by load.
+	work evidence
 	// percent is the exponentially decayed slowness that the server states, in percent.
 	percent   float64
 	percentAt clock.Millis
@@ -151,11 +150,11 @@
 	minFraction = 1.0 / 255
 )
 
-// New returns a table without servers.
-func New() *Table {
+// New returns a table without servers that takes in what other routers report.
+func New(reports *Reports) *Table {
 	return &Table{
-		servers: make(map[Key]*server), expected: make(map[string]*evidence), deviation: initialDeviation,
-		peers: make(map[Key]peerSum),
+		servers: make(map[Key]*server), expected: make(map[int64]*evidence), deviation: initialDeviation,
+		reports: reports,
 	}
 }
 
@@ -168,13 +167,6 @@
 	return s
 }
 
-// ObserveRead records the ratio of the observed time until a first event to the time expected at a typical server.
-func (t *Table) ObserveRead(now clock.Millis, key Key, ratio float64) {
-	if ratio = min(ratio, maxRatio); ratio >= 0 {
-		t.server(key).read.observe(now, 0, ratio, 1)
-	}
-}
-
 // ObserveWork records how long work took.
 func (t *Table) ObserveWork(now clock.Millis, key Key, w Work) {
 	if !(w.Took >= 0 && w.Load >= 0 && w.Weight > 0) {
@@ -188,12 +180,15 @@
 		usualTime = &evidence{}
 		t.expected[w.Kind] = usualTime
 	}
-	expected := t.ExpectedWork(w.Kind, w.Load)
+	expected := t.expectedWork(w.Kind, w.Load)
 	if expected <= 0 {
-		expected = max(1, w.Took)
+		expected = w.Took
 	}
 	usualTime.add(now, usualMemory, w.Load, min(w.Took, maxUsualRatio*expected), w.Weight)
-	ratio := min(w.Took/expected, maxRatio)
+	ratio := 1.0
+	if expected > 0 {
+		ratio = min(w.Took/expected, maxRatio)
+	}
 	s := t.server(key)
 	if s.work.weight(now) > priorWeight {
 		distance := min(math.Abs(ratio-s.work.line.Mean()), maxUsualRatio)
@@ -202,8 +197,8 @@
 	s.work.observe(now, w.Load, ratio, w.Weight)
 }
 
-// ExpectedWork returns the milliseconds that work of a kind takes at a typical server under a load; 0 if unknown.
-func (t *Table) ExpectedWork(kind string, load float64) float64 {
+// expectedWork returns how long work of a kind takes at a typical server under a load; 0 if unknown.
+func (t *Table) expectedWork(kind int64, load float64) float64 {
 	usualTime, ok := t.expected[kind]
 	if !ok || usualTime.line.Weight() == 0 {
 		return 0
@@ -254,6 +249,9 @@
 	t.server(key).replaced = true
 }
 
+// Drop drops all that is known of a server that has left the list.
+func (t *Table) Drop(key Key) { delete(t.servers, key) }
+
 // evidence holds times by load.
 type evidence struct {
 	line linefit.Line
@@ -295,24 +293,13 @@
 	return 1, priorWeight
 }
 
-// ReadFactor returns the ratio of the time until the first event at a server to the time at a typical one.
-func (t *Table) ReadFactor(now clock.Millis, key Key) float64 {
-	s, ok := t.servers[key]
-	if !ok {
-		return 1
-	}
-	prior, priorWeight := t.prior(now, s)
-	w := s.read.weight(now)
-	return (w*s.read.line.Mean() + priorWeight*prior) / (w + priorWeight)
-}
-
 // Estimate returns the estimate for a server.
 func (t *Table) Estimate(now clock.Millis, key Key) Estimate {
 	t.refresh(now)
 	if s, ok := t.servers[key]; ok {
 		return s.joint
 	}
-	return t.peers[key].estimate()
+	return t.reports.sums[key].estimate()
 }
 
 // Limit returns how many requests a server with the given slots handles well, at least 1; false if that is not known to
@@ -322,5 +309,9 @@
 	if e.Fraction >= 1 {
 		return slots, false
 	}
-	return max(1, int(math.Round(e.Fraction*float64(slots)))), true
+	fraction := e.Fraction
+	if e.Slowness > 1 && now%probePeriod < probeTime {
+		fraction *= probeFraction
+	}
+	return max(1, int(math.Round(fraction*float64(slots)))), true
 }
