intake: Place requests by what each server handles well

Servers that become slow, or slow down under load, kept getting work: an engine whose streams were four times as slow had more load than the others (30 requests where they had 14), one of nine engines with thirty routers as much as the others. A server beyond what it handles well gets a request only if no other has room or is on time.

--- a/internal/forecast/forecast.go
+++ b/internal/forecast/forecast.go
@@ -3,6 +3,8 @@
 package forecast
 
 import (
+	"math"
+
 	"github.com/laburnumring/laburnumring/internal/linefit"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -12,8 +14,14 @@
 type Forecast struct {
 	// fitted holds the observations, which decay with each later one.
 	fitted linefit.Line
-	// slowness holds the exponentially decayed ratio of observed to predicted times by server.
-	slowness map[string]float64
+	// slowness holds the ratio of observed to predicted times by server.
+	slowness map[string]ratio
+}
+
+// ratio is an exponentially decayed ratio as of its last observation.
+type ratio struct {
+	value float64
+	at    clock.Millis
 }
 
 // The line before any observation: engines of the present size read about 80 prompt tokens per millisecond between
@@ -34,11 +42,13 @@
 	slownessWeight = 0.15
 	minSlowness    = 0.5
 	maxSlowness    = 8.0
+	// slownessTTL is how long after the last observation a server's ratio holds.
+	slownessTTL = 5 * clock.Second
 )
 
 // New returns a forecast without observations.
 func New() *Forecast {
-	f := &Forecast{slowness: make(map[string]float64)}
+	f := &Forecast{slowness: make(map[string]ratio)}
 	for _, x := range []float64{0, 2 * priorX} {
 		f.add(x, priorBase+priorSlope*x, priorWeight/2)
 	}
@@ -46,11 +56,18 @@
 }
 
 // Predict returns the predicted milliseconds until the first token at a server that has to read the given number of
-// tokens.
-func (f *Forecast) Predict(server string, tokens int64) float64 {
-	return f.line(float64(tokens)) * f.factor(server)
+// tokens. slowness above 1 is how many times as long as at a typical server its work is known to take otherwise.
+func (f *Forecast) Predict(now clock.Millis, server string, slowness float64, tokens int64) float64 {
+	factor := f.factor(now, server)
+	if slowness > 1 {
+		factor = max(factor, slowness)
+	}
+	return f.line(float64(tokens)) * factor
 }
 
+// Typical returns the predicted milliseconds at a typical server.
+func (f *Forecast) Typical(tokens int64) float64 { return f.line(float64(tokens)) }
+
 // Slope returns the milliseconds that one prompt token adds.
 func (f *Forecast) Slope() float64 {
 	_, b := f.fit()
@@ -58,22 +75,28 @@
 }
 
 // Observe records the time until the first token at a server that had to read the given number of tokens before.
-func (f *Forecast) Observe(server string, tokens int64, took clock.Millis) {
+func (f *Forecast) Observe(now clock.Millis, server string, tokens int64, took clock.Millis) {
 	expected := f.line(float64(tokens))
-	ratio := min(float64(took)/expected, maxSlowness)
-	f.slowness[server] = min(maxSlowness, max(minSlowness,
-		(1-slownessWeight)*f.factor(server)+slownessWeight*ratio))
+	observed := min(float64(took)/expected, maxSlowness)
+	f.slowness[server] = ratio{at: now, value: min(maxSlowness, max(minSlowness,
+		(1-slownessWeight)*f.factor(now, server)+slownessWeight*observed))}
 	f.add(float64(tokens), min(float64(took), maxRatio*expected), 1)
 }
 
 // Forget drops the observations specific to one server.
 func (f *Forecast) Forget(server string) { delete(f.slowness, server) }
 
-func (f *Forecast) factor(server string) float64 {
-	if v, ok := f.slowness[server]; ok {
-		return v
+// factor returns the ratio of a server. It is forgotten while there are no observations, so that a server which was slow
+// gets work again.
+func (f *Forecast) factor(now clock.Millis, server string) float64 {
+	v, ok := f.slowness[server]
+	if !ok {
+		return 1
+	}
+	if age := now - v.at; age > slownessTTL {
+		return 1 + (v.value-1)*math.Exp(-float64(age-slownessTTL)/float64(slownessTTL))
 	}
-	return 1
+	return v.value
 }
 
 func (f *Forecast) line(x float64) float64 {
--- a/internal/intake/plain.go
+++ b/internal/intake/plain.go
@@ -1,8 +1,6 @@
 package intake
 
 import (
-	"math"
-
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -21,8 +19,8 @@
 func (c *Controller) placePlain(
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) placement {
-	best := choice{score: math.Inf(1)}
-	fastest := minLatency(pool)
+	var found wellPlaced
+	fastest := minLatency(now, pool)
 	limitWait, full := noWait, false
 	for _, s := range pool {
 		l := c.load(s)
@@ -43,25 +41,28 @@
 			score += otherPlaceSlots / float64(slots)
 		}
 		score *= 1 + failurePenalty*s.failureRate
-		if fastest > 0 && s.latencyMs > fastest {
-			score *= s.latencyMs / fastest
+		ratio := c.slowness(now, s)
+		if latency := s.latency(now); fastest > 0 && latency > fastest*ratio {
+			ratio = latency / fastest
 		}
-		if score < best.score {
-			best = choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
+		if !s.slow || !probes(ratio, l) {
+			score *= ratio
 		}
+		ch := choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
+		found.add(ch, c.handles(now, s, svc, l, 0))
 	}
 	if full {
 		limitWait = noWait
 	}
-	return placement{best: best, limitWait: limitWait}
+	return placement{best: found.best(0), limitWait: limitWait}
 }
 
 // minLatency returns the lowest known latency of the servers in milliseconds; 0 if none is known.
-func minLatency(pool []*server) float64 {
+func minLatency(now clock.Millis, pool []*server) float64 {
 	fastest := 0.0
 	for _, s := range pool {
-		if s.latencyMs > 0 && (fastest == 0 || s.latencyMs < fastest) {
-			fastest = s.latencyMs
+		if latency := s.latency(now); latency > 0 && (fastest == 0 || latency < fastest) {
+			fastest = latency
 		}
 	}
 	return fastest
