--- a/internal/intake/engine.go
+++ b/internal/intake/engine.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		cold := c.coldFactor(now, s)
-		slowness := c.slowness(now, s)
+		slowness := c.estimate(now, s).Slowness
 		expected := cold*f.Predict(now, s.entry.ID, slowness, l.Queued+uncached) + float64(queued)*slotMs
 		// The rest of the answer takes longer by this much than at a typical engine.
 		score := expected + (1-1/slowness)*s.answerMs(r, svc)
--- a/internal/intake/plain.go
+++ b/internal/intake/plain.go
@@ -41,11 +41,12 @@
 			score += otherPlaceSlots / float64(slots)
 		}
 		score *= 1 + failurePenalty*s.failureRate
-		ratio := c.slowness(now, s)
+		slowness := c.estimate(now, s).Slowness
+		ratio := slowness
 		if latency := s.latency(now); fastest > 0 && latency > fastest*ratio {
 			ratio = latency / fastest
 		}
-		if !s.slow || !probes(ratio, l) {
+		if !probes(slowness, l) {
 			score *= ratio
 		}
 		ch := choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/laburnumring/laburnumring"
+	"github.com/laburnumring/laburnumring/internal/serverspeed"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -44,8 +45,9 @@
 	// first.
 	latencyMs float64
 	latencyAt clock.Millis
-	// slow is set while the server is measurably slower than the others of its service.
-	slow bool
+	// speed is the estimate of the server's speed as of speedAt.
+	speed   serverspeed.Estimate
+	speedAt clock.Millis
 	// blockedUntil is when the server may get work again after it was unreachable, and backoff is how long the last
 	// block lasted.
 	blockedUntil clock.Millis
--- a/internal/intake/speed.go
+++ b/internal/intake/speed.go
@@ -82,16 +82,21 @@
 	c.speed(s.entry.Service).ObserveRefusal(now, uint32(s.key), load)
 }
 
-// slowness returns how many times as long as at the typical server of its service work takes at a server; 1 unless that
-// is measurable. When a server has recovered, the times from before are forgotten.
-func (c *Controller) slowness(now clock.Millis, s *server) float64 {
-	slowness := c.speed(s.entry.Service).Estimate(now, uint32(s.key)).Slowness
-	if s.slow && slowness <= 1 {
+// speedInterval is how long an estimate is used, so that decisions, which look at all servers, cost little.
+const speedInterval = 50 * clock.Millis(1)
+
+// estimate returns the estimate of a server's speed. When the server has recovered, the times from before are forgotten.
+func (c *Controller) estimate(now clock.Millis, s *server) serverspeed.Estimate {
+	if s.speedAt > 0 && now-s.speedAt < speedInterval {
+		return s.speed
+	}
+	e := c.speed(s.entry.Service).Estimate(now, uint32(s.key))
+	if s.speed.Slowness > 1 && e.Slowness <= 1 {
 		c.forecast(s.entry.Service).Forget(s.entry.ID)
 		s.latencyMs = 0
 	}
-	s.slow = slowness > 1
-	return slowness
+	s.speed, s.speedAt = e, now
+	return e
 }
 
 // probes reports whether a slow server is treated as a typical one: it has no request, and the next one shows whether it
@@ -101,14 +106,14 @@
 // handles reports whether a server handles one more request well, of which it has to read the given number of prompt
 // tokens. Servers that do not differ from others handle as many as they have slots.
 func (c *Controller) handles(now clock.Millis, s *server, svc routing.Service, l Load, tokens int64) bool {
-	if limit, ok := c.speed(svc.Name).Limit(now, uint32(s.key), slotsOf(svc, s)); ok && l.Running >= limit {
+	e := c.estimate(now, s)
+	if limit, ok := e.Limit(now, slotsOf(svc, s)); ok && l.Running >= limit {
 		return false
 	}
-	slowness := c.slowness(now, s)
-	if slowness <= 1 || !svc.IsEngine || l.Queued == 0 {
+	if e.Slowness <= 1 || !svc.IsEngine || l.Queued == 0 {
 		return true
 	}
-	return float64(l.Queued+tokens)*c.forecast(svc.Name).Slope()*slowness <= wellReadMs
+	return float64(l.Queued+tokens)*c.forecast(svc.Name).Slope()*e.Slowness <= wellReadMs
 }
 
 // handledFraction returns the number of requests that a service's servers handle well, as a fraction of their slots; 1
@@ -118,7 +123,7 @@
 	handled, slots := 0.0, 0.0
 	for _, s := range c.pools[service] {
 		n := float64(slotsOf(svc, s))
-		handled += n * c.speed(service).Estimate(now, uint32(s.key)).Fraction
+		handled += n * c.estimate(now, s).Fraction
 		slots += n
 	}
 	if slots == 0 {
@@ -167,7 +172,7 @@
 	for service, pool := range c.pools {
 		for _, s := range pool {
 			if len(out) < most && c.table != nil {
-				out = append(out, c.serverSpeed(service, s, c.speed(service).Estimate(now, uint32(s.key))))
+				out = append(out, c.serverSpeed(service, s, c.estimate(now, s)))
 			}
 		}
 	}
--- a/internal/serverspeed/serverspeed.go
+++ b/internal/serverspeed/serverspeed.go
@@ -304,8 +304,7 @@
 
 // Limit returns how many requests a server with the given slots handles well, at least 1; false if that is not known to
 // be less than its slots.
-func (t *Table) Limit(now clock.Millis, key Key, slots int) (int, bool) {
-	e := t.Estimate(now, key)
+func (e Estimate) Limit(now clock.Millis, slots int) (int, bool) {
 	if e.Fraction >= 1 {
 		return slots, false
 	}
