intake: Let slowness move requests but not make them late

The suspected cause is that a slow engine's expected time counted in the decision whether a request is late, so that it was refused although the engine had room. The expected time of decisions is the forecast's again; slowness changes the score alone.

--- a/internal/intake/engine.go
+++ b/internal/intake/engine.go
@@ -74,9 +74,11 @@
 		}
 		cold := c.coldFactor(now, s)
 		slowness := c.estimate(now, s).Slowness
-		expected := cold*f.Predict(now, s.entry.ID, slowness, l.Queued+uncached) + float64(queued)*slotMs
+		// The slowness changes where a request goes, not whether it is late: it must not cause a refusal.
+		expected := cold*f.Predict(now, s.entry.ID, 1, l.Queued+uncached) + float64(queued)*slotMs
 		// The rest of the answer takes longer by this much than at a typical engine.
-		score := expected + (1-1/slowness)*s.answerMs(r, svc)
+		score := cold*f.Predict(now, s.entry.ID, slowness, l.Queued+uncached) + float64(queued)*slotMs +
+			(1-1/slowness)*s.answerMs(r, svc)
 		if probes(slowness, l) {
 			score = f.Typical(l.Queued + uncached)
 		}
@@ -97,7 +99,7 @@
 				score += onTimeFraction * float64(r.Goal)
 			}
 		}
-		unqueuedMs := int64(cold * f.Predict(now, s.entry.ID, slowness, uncached))
+		unqueuedMs := int64(cold * f.Predict(now, s.entry.ID, 1, uncached))
 		found.add(choice{s: s, score: score, unqueuedMs: unqueuedMs, basis: Basis{
 			Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
 			Reread: max(0, uncached-own),
