--- a/direct.go
+++ b/direct.go
@@ -65,23 +65,6 @@
 	Pause clock.Millis
 	// Limit is what the server says of the rate of requests that it takes.
 	Limit RateLimit
-	// Load is what the server says of its load.
-	Load ServerLoad
-}
-
-// ServerLoad is what a response of a backend server says of the load on the server at the time of the response.
-type ServerLoad struct {
-	// Known is false if the response says nothing usable about the load: it is from another server, or its header is
-	// missing or not valid. All other fields are then 0.
-	Known bool
-	// Running is the number of requests that run at the server, Waiting the number that wait there, from all routers.
-	Running int
-	Waiting int
-	// Slots is the largest number of requests that the server runs at once; at least 1.
-	Slots int
-	// Slowness is how long work takes there at the moment, in percent of the usual time; 0 if the server does not state
-	// it.
-	Slowness int
 }
 
 // RateLimit is what a response of a backend server says of the rate of requests that the server takes from all routers
--- a/internal/direct/answer.go
+++ b/internal/direct/answer.go
@@ -325,7 +325,7 @@
 	c.begunEvents += n
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.intake.Progress(now, c.seq, n, now-last)
+	r.intake.Progress(c.seq, n, now-last)
 	return now
 }
 
--- a/internal/direct/attempt.go
+++ b/internal/direct/attempt.go
@@ -139,7 +139,6 @@
 	now := r.o.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.intake.ObserveReply(now, c.seq, d.Server.ID, reply)
 	if r.intake.ObserveLimit(now, c.sentAt, d.Server.ID, reply.Limit) {
 		r.o.Logger.Log(event.ServerLimitChanged, "server", d.Server.ID, "id", c.head.ID, "limited", reply.Limit.Limited,
 			"per_second", reply.Limit.PerSecond)
@@ -155,22 +154,6 @@
 	}
 }
 
-// maxSpeedSeries limits the servers whose speed and limit are metrics.
-const maxSpeedSeries = 256
-
-// reportSpeeds updates the metrics of servers' speeds and logs changes. The caller holds mu.
-func (r *Router) reportSpeeds(now clock.Millis) {
-	r.metrics.slowness.Reset()
-	r.metrics.handled.Reset()
-	for _, s := range r.intake.Speeds(now, maxSpeedSeries) {
-		r.metrics.slowness.WithLabelValues(s.ID).Set(s.Slowness)
-		r.metrics.handled.WithLabelValues(s.ID).Set(float64(s.Limit))
-	}
-	for _, s := range r.intake.SpeedChanges(now) {
-		r.o.Logger.Log(event.ServerSpeedChanged, "server", s.ID, "slowness", s.Slowness, "limit", s.Limit)
-	}
-}
-
 // refuseAssigned refuses a request for which a server had been chosen.
 func (r *Router) refuseAssigned(c *call, d intake.Decision, refusal *intake.RefusedError) {
 	r.mu.Lock()
--- a/internal/direct/direct.go
+++ b/internal/direct/direct.go
@@ -394,7 +394,6 @@
 		r.intake.PruneLimits(now)
 		r.metrics.limited.Set(float64(r.intake.LimitedServers(now)))
 		r.logCold(now)
-		r.reportSpeeds(now)
 		r.roster.Prune(now)
 		maps.DeleteFunc(r.unreadyAt, func(_ string, at clock.Millis) bool { return now-at > unreadyTTL })
 		r.metrics.setGauges(r.intake.Waiting(), r.inbound.Load(), r.quarantine.Casualties())
--- a/internal/direct/metrics.go
+++ b/internal/direct/metrics.go
@@ -39,9 +39,6 @@
 	limited prometheus.Gauge
 	// cold is the number of servers that are cold.
 	cold prometheus.Gauge
-	// slowness and handled are the speeds of servers and the requests that they handle well, by server.
-	slowness *prometheus.GaugeVec
-	handled  *prometheus.GaugeVec
 	// listAge is the age of the list of backend servers at each attempt. retained is the number of servers that are
 	// missing from the list but may still get work.
 	listAge  prometheus.Histogram
@@ -109,13 +106,6 @@
 		cold: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "laburnumring_direct_cold_servers", Help: "Backend servers that have just started and take few requests.",
 		}),
-		slowness: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "laburnumring_direct_server_slowness",
-			Help: "How many times as long as at a typical server of its service work takes at a backend server.",
-		}, []string{"server"}),
-		handled: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "laburnumring_direct_server_handles", Help: "Requests that a backend server handles well at once, from all routers.",
-		}, []string{"server"}),
 		listAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "laburnumring_direct_list_age_seconds",
 			Help:    "Time since the list of backend servers was known to be the newest, at each send.",
@@ -129,7 +119,7 @@
 			Help: "Backend servers that may get work though the newest list lacks them.",
 		}),
 	}
-	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.framings, m.takenUp, m.origins, m.evidenceWrites, m.tokens, m.waiting, m.inbound, m.casualties, m.quarantined, m.limited, m.cold, m.slowness, m.handled, m.listAge,
+	m.registry.MustRegister(m.ended, m.refused, m.firstByte, m.attempts, m.broken, m.framings, m.takenUp, m.origins, m.evidenceWrites, m.tokens, m.waiting, m.inbound, m.casualties, m.quarantined, m.limited, m.cold, m.listAge,
 		m.retained, m.evacuated)
 	return m
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -68,7 +68,6 @@
 	QuarantineTried         = Event{4014, log.InfoLevel, "request tests whether what is in quarantine still crashes servers"}
 	ServerLimitChanged      = Event{4013, log.InfoLevel, "backend server's limit of requests changed"}
 	ServerColdChanged       = Event{4015, log.InfoLevel, "backend server became cold or warm"}
-	ServerSpeedChanged      = Event{4016, log.InfoLevel, "backend server's speed or what it handles well changed"}
 	RequestSuspected        = Event{4005, log.WarnLevel, "request was running when its backend server died"}
 	LimitChanged            = Event{8002, log.DebugLevel, "limit of requests inside the backend server moved"}
 	ShareParent             = Event{8001, log.InfoLevel, "fair share reports go to another agent"}
@@ -103,7 +102,7 @@
 		AgentReady, AgentSilent, AgentLeaving,
 		ServerUp, ServerDown, ServerConnectionLost, RouterSessionEnded,
 		RequestIncomplete, AnswerBroken, AttemptRetried,
-		PoisonRefused, RequestSuspected, Quarantined, QuarantineReleased, QuarantineTried, ServerLimitChanged, ServerColdChanged, ServerSpeedChanged,
+		PoisonRefused, RequestSuspected, Quarantined, QuarantineReleased, QuarantineTried, ServerLimitChanged, ServerColdChanged,
 		ClaimsCurrent, ClaimLogUnavailable, ClaimsLoading, ClaimRecordBad, ClaimGap, ClaimRetentionShort,
 		OrderEnded, ClaimsRestored,
 		ShareParent, LimitChanged,
--- a/internal/experiment/intake.go
+++ b/internal/experiment/intake.go
@@ -132,6 +132,6 @@
 func (p *intakePolicy) ended(f *simRequest) {
 	c := p.routers[f.router].c
 	events := int(f.output)
-	c.Progress(p.w.now, f.id, events, max(1, f.doneAt-f.firstAt))
+	c.Progress(f.id, events, max(1, f.doneAt-f.firstAt))
 	p.w.schedule(max(f.doneAt, f.firstAt), func() { c.Ended(p.w.now, f.id, intake.Whole) })
 }
--- a/internal/intake/attempt.go
+++ b/internal/intake/attempt.go
@@ -12,10 +12,8 @@
 	tokensToRead int64
 	// unqueuedMs is the predicted time to the first token with an empty queue, in milliseconds.
 	unqueuedMs int64
-	// running is the number of requests at the server, this one included, when it was sent.
-	running int
-	sentAt  clock.Millis
-	started bool
+	sentAt     clock.Millis
+	started    bool
 	// cold is set if the server was cold when the request was sent.
 	cold bool
 }
@@ -39,7 +37,7 @@
 	ch.s.load = ch.s.load.plus(l)
 	c.attempts[r.ID] = &attempt{
 		r: r, server: ch.s.entry.ID, load: l, tokensToRead: b.Queued + b.Uncached, unqueuedMs: ch.unqueuedMs, sentAt: now,
-		cold: c.cold(now, ch.s), running: b.Running + 1,
+		cold: c.cold(now, ch.s),
 	}
 	return Decision{Request: r.ID, Server: ch.s.entry, Basis: b}
 }
@@ -99,7 +97,6 @@
 	c.recordResult(now, s, a, res)
 	if s.load.Running == 0 && !c.lists(s) {
 		delete(c.servers, a.server)
-		c.speed(s.entry.Service).Drop(uint32(s.key))
 	}
 }
 
@@ -120,8 +117,10 @@
 		s.succeeded()
 		if !c.isEngine(a.r.Service) {
 			took := float64(now - a.sentAt)
-			s.observeLatency(now, took)
-			c.observeWork(now, s, int64(a.r.Goal), took, a.running, 1)
+			if s.latencyMs == 0 {
+				s.latencyMs = took
+			}
+			s.latencyMs += latencyWeight * (took - s.latencyMs)
 		}
 	case Failed:
 		s.failed()
@@ -136,7 +135,7 @@
 }
 
 // Progress records that a number of a stream's events arrived, the given time after the preceding ones.
-func (c *Controller) Progress(now clock.Millis, id int64, events int, took clock.Millis) {
+func (c *Controller) Progress(id int64, events int, took clock.Millis) {
 	a, ok := c.attempts[id]
 	if !ok || events == 0 || c.timersLate {
 		return
@@ -146,6 +145,5 @@
 	if s.eventGapMs == 0 {
 		s.eventGapMs = gap
 	}
-	c.observeEvents(now, s, gap, events)
 	s.eventGapMs += eventGapWeight * float64(events) * (gap - s.eventGapMs)
 }
--- a/internal/intake/cold.go
+++ b/internal/intake/cold.go
@@ -198,10 +198,7 @@
 func (c *Controller) observeStart(now clock.Millis, a *attempt) {
 	f := c.forecast(a.r.Service)
 	if !a.cold {
-		took := now - a.sentAt
-		c.observeWork(now, c.servers[a.server], workFirstEvent, float64(took)/f.Typical(a.tokensToRead), a.running,
-			firstEventWeight)
-		f.Observe(now, a.server, a.tokensToRead, took)
+		f.Observe(a.server, a.tokensToRead, now-a.sentAt)
 		return
 	}
 	e, ok := c.coldTimes[a.r.Service]
@@ -209,5 +206,5 @@
 		e = &forecast.Cold{}
 		c.coldTimes[a.r.Service] = e
 	}
-	e.Observe(f.Predict(now, a.server, 1, a.tokensToRead), now-a.sentAt)
+	e.Observe(f.Predict(a.server, a.tokensToRead), now-a.sentAt)
 }
--- a/internal/intake/engine.go
+++ b/internal/intake/engine.go
@@ -33,8 +33,7 @@
 func (c *Controller) placeEngine(
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) placement {
-	var found wellPlaced
-	reachable := false
+	best, reachable := choice{score: math.Inf(1)}, false
 	f := c.forecast(r.Service)
 	preferred := partServers(r, pool)
 	home := homeUnavailable
@@ -73,15 +72,8 @@
 			continue
 		}
 		cold := c.coldFactor(now, s)
-		slowness := c.estimate(now, s).Slowness
-		// The slowness changes where a request goes, not whether it is late: it must not cause a refusal.
-		expected := cold*f.Predict(now, s.entry.ID, 1, l.Queued+uncached) + float64(queued)*slotMs
-		// The rest of the answer takes longer by this much than at a typical engine.
-		score := cold*f.Predict(now, s.entry.ID, slowness, l.Queued+uncached) + float64(queued)*slotMs +
-			(1-1/slowness)*s.answerMs(r, svc)
-		if probes(slowness, l) {
-			score = f.Typical(l.Queued + uncached)
-		}
+		expected := cold*f.Predict(s.entry.ID, l.Queued+uncached) + float64(queued)*slotMs
+		score := expected
 		if reread := uncached - own; reread > 0 {
 			penalty := extraCopyPenalty
 			if s == preferred[1] {
@@ -99,13 +91,13 @@
 				score += onTimeFraction * float64(r.Goal)
 			}
 		}
-		unqueuedMs := int64(cold * f.Predict(now, s.entry.ID, 1, uncached))
-		found.add(choice{s: s, score: score, unqueuedMs: unqueuedMs, basis: Basis{
-			Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
-			Reread: max(0, uncached-own),
-		}}, c.handles(now, s, svc, l, uncached))
+		if score < best.score {
+			best = choice{s: s, score: score, unqueuedMs: int64(cold * f.Predict(s.entry.ID, uncached)), basis: Basis{
+				Expected: int64(expected), Queued: l.Queued, Uncached: uncached, Running: l.Running, PeerAge: v.peerAge,
+				Reread: max(0, uncached-own),
+			}}
+		}
 	}
-	best := found.best(onTimeFraction*float64(r.Goal) - float64(now-r.firstArrived))
 	switch {
 	case preferred[0] == nil:
 	case best.s == preferred[0]:
--- a/internal/intake/home_test.go
+++ b/internal/intake/home_test.go
@@ -41,7 +41,7 @@
 			home := d.Server.ID
 			c.Started(60, 1)
 			for range 200 {
-				c.Progress(60, 1, 1, tt.gap)
+				c.Progress(1, 1, tt.gap)
 			}
 			report.Servers[intake.KeyOf(home)] = intake.Load{Running: tt.running, Memory: 4000}
 			c.Merge(100, "peer", report)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -24,7 +24,6 @@
 	"github.com/laburnumring/laburnumring/internal/forecast"
 	"github.com/laburnumring/laburnumring/internal/ratelimit"
 	"github.com/laburnumring/laburnumring/internal/routing"
-	"github.com/laburnumring/laburnumring/internal/serverspeed"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -94,8 +93,6 @@
 	// startedAt is when the first request came.
 	startedAt clock.Millis
 	tables    tables
-	// speeds estimates what each server handles well, by service.
-	speeds map[string]*serverspeed.Table
 	// peers holds the latest reports of the other routers.
 	peers peers
 }
@@ -109,8 +106,8 @@
 		capacities: make(map[string]*capacityEstimate), refusals: refusalTable{refused: make(map[uint32]clock.Millis)},
 		pauses: make(map[string]clock.Millis), backlogs: make(map[string]*backlog),
 		limits: ratelimit.New(o.Name), demands: make(map[string]*demand), peers: newPeers(),
-		tables: newTables(), speeds: make(map[string]*serverspeed.Table),
-		colds: make(map[string]*coldServer), reopened: make(map[string]clock.Millis),
+		tables: newTables(),
+		colds:  make(map[string]*coldServer), reopened: make(map[string]clock.Millis),
 		coldTimes: make(map[string]*forecast.Cold), membership: ratelimit.NewMembership(o.Alone),
 	}
 	c.limits.SetFleet(c.membership.Fleet)
@@ -146,7 +143,6 @@
 			replacement := &server{key: KeyOf(e.ID), cached: make(map[string]clock.Millis)}
 			if ok {
 				replacement.load = s.load
-				c.speed(e.Service).Forget(uint32(s.key))
 			}
 			s = replacement
 			c.servers[e.ID] = s
@@ -160,7 +156,6 @@
 	for id, s := range c.servers {
 		if !listed[id] && s.load.Running == 0 {
 			delete(c.servers, id)
-			c.speed(s.entry.Service).Drop(uint32(s.key))
 		}
 	}
 	c.restoreCold()
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -23,8 +23,6 @@
 //	submit ID [begun] team=T service=S [prompt=PART:TOKENS,...] [out=N] [goal=MS] [limit=MS] [content=N] [times=N [first=MS]]
 //	poll, started ID, ended ID RESULT, withdraw ID, unreachable SERVER
 //	limit SERVER [rate=F] [sent=MS]  a response, to a request sent at MS, names a limit or none
-//	reply SERVER load=RUNNING/WAITING/SLOTS/PERCENT until=MS  responses every 50 ms state the server's load
-//	speeds                    prints the servers that differ from the others
 //	lag MS                    sets the mean lag of the router's timers
 //	busy, free                starts and ends a lack of processor time at the router
 //	peer NAME [SERVER=RUNNING/QUEUED/MEMORY]... [TEAM=DEMAND/SERVED[/ARRIVED/RECENT]]... [refused=N] [supply=F]
@@ -112,17 +110,6 @@
 		p.c.SetBusy(d.Cmd == "busy")
 	case "limit":
 		return p.limit(d)
-	case "reply":
-		p.reply(d)
-	case "speeds":
-		var out strings.Builder
-		for _, s := range p.c.Speeds(p.now, 100) {
-			if s.Slowness > 1 || s.Limit < 8 {
-				fmt.Fprintf(&out, "%s: slowness %.1f, limit %d\n", s.ID, s.Slowness, s.Limit)
-			}
-		}
-		fmt.Fprintf(&out, "%d reported\n", len(p.c.Report(p.now).Speeds))
-		return out.String()
 	case "admit":
 		keys := make(map[uint64]bool)
 		for _, a := range d.CmdArgs {
@@ -172,21 +159,6 @@
 	return fmt.Sprintf("changed %v\n", p.c.ObserveLimit(p.now, clock.Millis(sent), d.CmdArgs[0].Key, l))
 }
 
-func (p *scriptRunner) reply(d *datadriven.TestData) {
-	var text string
-	var until int64
-	d.ScanArgs(p.t, "load", &text)
-	d.ScanArgs(p.t, "until", &until)
-	l := laburnumring.ServerLoad{Known: true}
-	if _, err := fmt.Sscanf(text, "%d/%d/%d/%d", &l.Running, &l.Waiting, &l.Slots, &l.Slowness); err != nil {
-		d.Fatalf(p.t, "%v", err)
-	}
-	for ; p.now < clock.Millis(until); p.now += 50 {
-		p.c.ObserveReply(p.now, 0, d.CmdArgs[0].Key, laburnumring.ReplyHeader{Load: l})
-		p.c.Speeds(p.now, 1)
-	}
-}
-
 func (p *scriptRunner) peer(d *datadriven.TestData) {
 	r := intake.Report{Servers: make(map[intake.ServerKey]intake.Load), Teams: make(map[string]fairshare.Rates)}
 	for _, a := range d.CmdArgs[1:] {
--- a/internal/intake/peers.go
+++ b/internal/intake/peers.go
@@ -1,9 +1,6 @@
 package intake
 
-import (
-	"github.com/laburnumring/laburnumring/internal/serverspeed"
-	"github.com/laburnumring/laburnumring/pkg/clock"
-)
+import "github.com/laburnumring/laburnumring/pkg/clock"
 
 // peerTTL is how long a peer's report is valid: several periods of the exchange.
 const peerTTL = 1500 * clock.Millis(1)
@@ -23,8 +20,6 @@
 	factors map[string]factorSum
 	// costs and limitedCosts sum the reported costs of requests by service.
 	costs, limitedCosts map[string]Cost
-	// speeds sums what was reported about servers' speeds.
-	speeds *serverspeed.Reports
 }
 
 // factorSum is a sum of factors in thousandths, so that adding and subtracting leaves no rounding error, and their
@@ -40,7 +35,6 @@
 	return peers{
 		reports: make(map[string]peerReport), loads: make(map[ServerKey]Load), factors: make(map[string]factorSum),
 		costs: make(map[string]Cost), limitedCosts: make(map[string]Cost),
-		speeds: serverspeed.NewReports(),
 	}
 }
 
@@ -52,7 +46,6 @@
 	for id, l := range r.Servers {
 		p.loads[id] = p.loads[id].plus(l)
 	}
-	p.speeds.Add(r.Speeds)
 	for service, f := range r.CapacityFactors {
 		s := p.factors[service]
 		p.factors[service] = factorSum{sum: s.sum + int64(fixedPointScale*f), n: s.n + 1}
@@ -71,7 +64,6 @@
 		return
 	}
 	delete(p.reports, peer)
-	p.speeds.Remove(old.r.Speeds)
 	for id, l := range old.r.Servers {
 		if rest := p.loads[id].minus(l); rest != (Load{}) {
 			p.loads[id] = rest
--- a/internal/intake/plain.go
+++ b/internal/intake/plain.go
@@ -1,6 +1,8 @@
 package intake
 
 import (
+	"math"
+
 	"github.com/laburnumring/laburnumring/internal/routing"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
@@ -19,8 +21,8 @@
 func (c *Controller) placePlain(
 	now clock.Millis, r Request, v *view, pool []*server, svc routing.Service,
 ) placement {
-	var found wellPlaced
-	fastest := minLatency(now, pool)
+	best := choice{score: math.Inf(1)}
+	fastest := minLatency(pool)
 	limitWait, full := noWait, false
 	for _, s := range pool {
 		l := c.load(s)
@@ -41,29 +43,25 @@
 			score += otherPlaceSlots / float64(slots)
 		}
 		score *= 1 + failurePenalty*s.failureRate
-		slowness := c.estimate(now, s).Slowness
-		ratio := slowness
-		if latency := s.latency(now); fastest > 0 && latency > fastest*ratio {
-			ratio = latency / fastest
+		if fastest > 0 && s.latencyMs > fastest {
+			score *= s.latencyMs / fastest
 		}
-		if !probes(slowness, l) {
-			score *= ratio
+		if score < best.score {
+			best = choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
 		}
-		ch := choice{s: s, score: score, basis: Basis{Running: l.Running, PeerAge: v.peerAge}}
-		found.add(ch, c.handles(now, s, svc, l, 0))
 	}
 	if full {
 		limitWait = noWait
 	}
-	return placement{best: found.best(0), limitWait: limitWait}
+	return placement{best: best, limitWait: limitWait}
 }
 
 // minLatency returns the lowest known latency of the servers in milliseconds; 0 if none is known.
-func minLatency(now clock.Millis, pool []*server) float64 {
+func minLatency(pool []*server) float64 {
 	fastest := 0.0
 	for _, s := range pool {
-		if latency := s.latency(now); latency > 0 && (fastest == 0 || latency < fastest) {
-			fastest = latency
+		if s.latencyMs > 0 && (fastest == 0 || s.latencyMs < fastest) {
+			fastest = s.latencyMs
 		}
 	}
 	return fastest
--- a/internal/intake/replay_test.go
+++ b/internal/intake/replay_test.go
@@ -254,7 +254,7 @@
 	switch p.IntN(5) {
 	case 0, 1:
 		p.c.Started(p.now, id)
-		p.c.Progress(p.now, id, 1+p.IntN(4), clock.Millis(5+p.IntN(40)))
+		p.c.Progress(id, 1+p.IntN(4), clock.Millis(5+p.IntN(40)))
 		return
 	case 2, 3:
 		p.c.Ended(p.now, id, intake.Whole)
--- a/internal/intake/report.go
+++ b/internal/intake/report.go
@@ -5,7 +5,6 @@
 
 	"github.com/laburnumring/laburnumring/internal/fairshare"
 	"github.com/laburnumring/laburnumring/internal/ratelimit"
-	"github.com/laburnumring/laburnumring/internal/serverspeed"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -28,9 +27,6 @@
 	LimitedCosts map[string]Cost `cbor:"10,keyasint,omitempty"`
 	// Routers is the number of routers known to the sender, itself included; 0 where servers are never cold.
 	Routers int `cbor:"11,keyasint,omitempty"`
-	// Speeds holds what the router found out about servers that differ from the others of their service. It is empty
-	// while none does.
-	Speeds map[serverspeed.Key]serverspeed.Speed `cbor:"12,keyasint,omitempty"`
 	// delay is how long the report was delayed on its way.
 	delay clock.Millis
 }
@@ -73,9 +69,6 @@
 			out.Costs[service], out.LimitedCosts[service] = d.cost.sum(now), d.limitedCost.sum(now)
 		}
 	}
-	for _, t := range c.speeds {
-		out.Speeds = t.Report(now, out.Speeds)
-	}
 	for service, e := range c.capacities {
 		if e.current(now) {
 			out.CapacityFactors[service] = float64(float32(e.factor))
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/laburnumring/laburnumring"
-	"github.com/laburnumring/laburnumring/internal/serverspeed"
 	"github.com/laburnumring/laburnumring/pkg/clock"
 )
 
@@ -41,13 +40,8 @@
 	// eventGapMs is the exponentially decayed mean time between two events of a stream, in milliseconds; 0 before the
 	// first.
 	eventGapMs float64
-	// latencyMs is the exponentially decayed mean time of plain calls as of latencyAt, in milliseconds; 0 before the
-	// first.
+	// latencyMs is the exponentially decayed mean time of plain calls, in milliseconds; 0 before the first.
 	latencyMs float64
-	latencyAt clock.Millis
-	// speed is the estimate of the server's speed as of speedAt.
-	speed   serverspeed.Estimate
-	speedAt clock.Millis
 	// blockedUntil is when the server may get work again after it was unreachable, and backoff is how long the last
 	// block lasted.
 	blockedUntil clock.Millis
@@ -63,9 +57,6 @@
 	// failureWeight is the weight of one attempt in failureRate.
 	failureWeight = 0.1
 	latencyWeight = 0.1
-	// latencyTTL is how long after the last call its server's latency holds, so that a server which was slow gets calls
-	// again.
-	latencyTTL = 5 * clock.Second
 	// eventGapWeight is the weight of one event in eventGapMs; each server sends dozens of events in a step.
 	eventGapWeight = 0.02
 	minBackoff     = 250 * clock.Millis(1)
@@ -107,23 +98,6 @@
 	s.blockedUntil = now + s.backoff
 }
 
-// latency returns the mean time of plain calls, in milliseconds; 0 if it is not known.
-func (s *server) latency(now clock.Millis) float64 {
-	if now-s.latencyAt > latencyTTL {
-		return 0
-	}
-	return s.latencyMs
-}
-
-// observeLatency records how long a plain call took.
-func (s *server) observeLatency(now clock.Millis, took float64) {
-	old := s.latency(now)
-	if old == 0 {
-		old = took
-	}
-	s.latencyMs, s.latencyAt = old+latencyWeight*(took-old), now
-}
-
 func (s *server) succeeded() {
 	s.backoff = 0
 	s.blockedUntil = 0
--- a/internal/intake/supply.go
+++ b/internal/intake/supply.go
@@ -131,14 +131,8 @@
 }
 
 // factor returns the ratio of the throughput of a service's engines to the configured one. It is the mean over all
-// routers, so that a team's share is the same at each. Servers that become slow lower it at once by what they handle
-// less; the control loop follows more slowly and corrects the rest.
+// routers, so that a team's share is the same at each.
 func (c *Controller) factor(now clock.Millis, service string) float64 {
-	return c.meanFactor(now, service) * c.handledFraction(now, service)
-}
-
-// meanFactor returns the mean of the control loops of all routers.
-func (c *Controller) meanFactor(now clock.Millis, service string) float64 {
 	own, others := c.capacity(service), c.peers.factors[service]
 	switch {
 	case own.current(now):
