enginemodel, experiment, routing: Simulate pauses between events

Long prompts are read in chunks between the steps of running streams and lengthen the pauses between their events. The model reports each answer's longest pause, and the site LongPrompts mixes long prompts with short streams at engines of two speeds. Table.PauseGoal returns the shortest pause goal of a service's streams. Decisions do not change.

--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -23,6 +23,8 @@
 	PromptRate float64
 	PairTime   float64
 	Chunk      int64
+	// EventTokens is the number of generated tokens in an event after the first, which holds one; 1 if zero.
+	EventTokens int64
 	// FirstTokenDelay is the part of the time from the end of prefill to the first token that isn't spent in the
 	// engine.
 	FirstTokenDelay float64
@@ -46,6 +48,9 @@
 	prefillLeft int64
 	context     int64
 	outputLeft  int64
+	// eventAt is the time of the latest event, and longestPause the longest time between two events.
+	eventAt      float64
+	longestPause float64
 }
 
 // Event reports that a request's first or last token was generated.
@@ -54,6 +59,8 @@
 	// First is set for the first token, Done for the last.
 	First bool
 	Done  bool
+	// LongestPause is the longest time between two of the request's events, in milliseconds. It is set if Done is.
+	LongestPause float64
 }
 
 // Stats counts tokens.
@@ -76,6 +83,8 @@
 	// cached holds the cached prompt parts by ID, and steps counts the steps done.
 	cached map[string]cachedPart
 	steps  int64
+	// worked is the duration of all steps done, in milliseconds.
+	worked float64
 	stats  Stats
 	// seen holds the IDs of the parts that any engine of the service has prefilled.
 	seen map[string]bool
@@ -117,6 +126,7 @@
 	}
 	took += e.o.StepPerContext * float64(context) / 1000
 	took += e.prefill()
+	e.worked += took
 	var events []Event
 	e.running = slices.DeleteFunc(e.running, func(v *requestState) bool {
 		if v.prefillLeft > 0 {
@@ -125,14 +135,26 @@
 		first := v.outputLeft == max(1, v.r.Output)
 		v.outputLeft--
 		v.context++
+		v.recordPause(e.worked, e.o.EventTokens)
 		if first || v.outputLeft == 0 {
-			events = append(events, Event{ID: v.r.ID, First: first, Done: v.outputLeft == 0})
+			events = append(events, Event{ID: v.r.ID, First: first, Done: v.outputLeft == 0, LongestPause: v.longestPause})
 		}
 		return v.outputLeft == 0
 	})
 	return took, events
 }
 
+// recordPause records the pause before an event, if the token generated last completes one.
+func (v *requestState) recordPause(now float64, eventTokens int64) {
+	switch generated := max(1, v.r.Output) - v.outputLeft; {
+	case generated == 1:
+		v.eventAt = now
+	case v.outputLeft == 0 || (generated-1)%max(1, eventTokens) == 0:
+		v.longestPause = max(v.longestPause, now-v.eventAt)
+		v.eventAt = now
+	}
+}
+
 // admit starts waiting requests in order of arrival while slots and memory suffice. A request that finds the engine
 // empty starts whatever its size, since waiting would free no more memory.
 func (e *Engine) admit() {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -40,12 +40,22 @@
 	Read           int64 `json:"tokens_read"`
 	PrefilledAgain int64 `json:"tokens_read_again"`
 	Cached         int64 `json:"tokens_kept"`
+	// PauseLate counts the answers that began within the latency goal and had a pause beyond their pause goal.
+	PauseLate int `json:"pause_late"`
+	// AskedTokens, LateTokens and RefusedTokens are the tokens of all requests, of those that are late for their first
+	// token or a pause, and of those that were refused or failed.
+	AskedTokens   float64 `json:"asked_tokens"`
+	LateTokens    float64 `json:"late_tokens"`
+	RefusedTokens float64 `json:"refused_tokens"`
 }
 
 // Site describes the simulated engines and routers.
 type Site struct {
 	Engines int
 	Engine  enginemodel.Options
+	// SlowEngines is the number of engines that take Slowness times as long for everything.
+	SlowEngines int
+	Slowness    float64
 	// TokensPerSecond is the configured throughput of all engines together.
 	TokensPerSecond float64
 	// Processors holds the CPU time of each router as a fraction of a core. Routers beyond its length have unlimited
@@ -53,11 +63,26 @@
 	Processors []float64
 	// Exchange is the interval at which each router reports to the others; 100 ms if zero.
 	Exchange clock.Millis
+	// ReportDelay is the time that a report takes to arrive; 1 ms if zero.
+	ReportDelay clock.Millis
+}
+
+// engine returns the options of engine i.
+func (s Site) engine(i int) enginemodel.Options {
+	o := s.Engine
+	if i < s.SlowEngines {
+		o.Step *= s.Slowness
+		o.StepPerSlot *= s.Slowness
+		o.StepPerContext *= s.Slowness
+		o.PromptRate /= s.Slowness
+		o.PairTime *= s.Slowness
+	}
+	return o
 }
 
 const (
 	// exchangeInterval is the interval at which routers report to each other if Site.Exchange is zero, the same as that
-	// of the real routers. exchangeDelay is the time that a report takes to arrive.
+	// of the real routers. exchangeDelay is the time that a report takes to arrive if Site.ReportDelay is zero.
 	exchangeInterval = 100 * clock.Millis(1)
 	exchangeDelay    = 1 * clock.Millis(1)
 )
@@ -104,8 +129,10 @@
 	// firstAt is the time of the first token and doneAt that of the last; 0 until then.
 	firstAt clock.Millis
 	doneAt  clock.Millis
-	refused bool
-	engine  int
+	// longestPause is the longest time between two events, in milliseconds.
+	longestPause float64
+	refused      bool
+	engine       int
 	// submittedAt is the time at which the request reached its router's controller, in its latest attempt, and retried
 	// is set once the client has repeated it after a refusal.
 	submittedAt clock.Millis
@@ -136,8 +163,8 @@
 		ledger: margin.New(),
 	}
 	seen := make(map[string]bool)
-	for range site.Engines {
-		w.engines = append(w.engines, enginemodel.New(site.Engine, seen))
+	for i := range site.Engines {
+		w.engines = append(w.engines, enginemodel.New(site.engine(i), seen))
 	}
 	p, err := newPolicy(name, w)
 	if err != nil {
@@ -218,7 +245,7 @@
 		w.policy.started(f)
 	}
 	if v.Done {
-		f.doneAt = w.now
+		f.doneAt, f.longestPause = w.now, v.LongestPause
 		w.policy.ended(f)
 		delete(w.inFlight, v.ID)
 	}
@@ -244,13 +271,21 @@
 		switch {
 		case f.refused:
 			r.Refused++
+			r.RefusedTokens += f.tokens()
 		case f.doneAt == 0 || f.doneAt-f.at > f.kind.Limit:
 			r.Failed++
+			r.RefusedTokens += f.tokens()
 		case f.onTime():
 			r.InGoal++
+			if f.pausedLong() {
+				r.PauseLate++
+				r.LateTokens += f.tokens()
+			}
 		default:
 			r.Late++
+			r.LateTokens += f.tokens()
 		}
+		r.AskedTokens += f.tokens()
 	}
 	for _, e := range w.engines {
 		s := e.Stats()
@@ -272,6 +307,11 @@
 		f.doneAt-f.at <= f.kind.Limit
 }
 
+// pausedLong reports whether a pause between two events was longer than the pause goal.
+func (f *simRequest) pausedLong() bool {
+	return f.kind.PauseGoal > 0 && f.longestPause > float64(f.kind.PauseGoal)
+}
+
 // tokens returns the cost of a request in tokens: its prompt tokens and twice its output tokens.
 func (f *simRequest) tokens() float64 {
 	n := 2 * f.output
--- a/internal/experiment/intake.go
+++ b/internal/experiment/intake.go
@@ -30,9 +30,9 @@
 		p.engines[engineName(i)] = i
 	}
 	table := routing.New(routing.Options{
-		Version: 1, Limits: routing.Limits{TokensPerSecond: w.site.TokensPerSecond},
+		Version: 1, Routes: w.load.routes(), Limits: routing.Limits{TokensPerSecond: w.site.TokensPerSecond},
 		Services: []routing.Service{{
-			Name: service, IsEngine: true, Slots: w.site.Engine.Slots, KVTokens: w.site.Engine.Memory, EventTokens: 1,
+			Name: service, IsEngine: true, Slots: w.site.Engine.Slots, KVTokens: w.site.Engine.Memory, EventTokens: int(max(1, w.site.Engine.EventTokens)),
 		}},
 	})
 	for i := range w.load.Routers {
@@ -116,7 +116,7 @@
 		report, state := from.c.Report(p.w.now), p.rotationState(from)
 		for j, to := range p.routers {
 			if i != j {
-				p.w.schedule(p.w.now+exchangeDelay, func() {
+				p.w.schedule(p.w.now+cmp.Or(p.w.site.ReportDelay, exchangeDelay), func() {
 					to.c.Merge(p.w.now, engineName(i), report)
 					to.rotation.Merge(p.w.now, engineName(i), state)
 				})
@@ -131,7 +131,7 @@
 
 func (p *intakePolicy) ended(f *simRequest) {
 	c := p.routers[f.router].c
-	events := int(f.output)
+	events := int(max(1, f.output/max(1, p.w.site.Engine.EventTokens)))
 	c.Progress(f.id, events, max(1, f.doneAt-f.firstAt))
 	p.w.schedule(max(f.doneAt, f.firstAt), func() { c.Ended(p.w.now, f.id, intake.Whole) })
 }
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/laburnumring/laburnumring"
 	"github.com/laburnumring/laburnumring/pkg/clock"
+	"github.com/laburnumring/laburnumring/pkg/route"
 )
 
 // Kind is a class of requests.
@@ -23,11 +24,17 @@
 	Shared      int64
 	SharedParts int
 	Own         int64
+	// Spread is the standard deviation of the logarithm of the own part's size, 1 if zero, and MaxOwn limits the
+	// size unless it is zero.
+	Spread float64
+	MaxOwn int64
 	// Output is the mean number of generated tokens.
 	Output int64
 	// Goal is the latency goal for the first token and Limit the limit for the whole request.
 	Goal  clock.Millis
 	Limit clock.Millis
+	// PauseGoal is the longest pause between two events of a stream that is on time; 0 for none.
+	PauseGoal clock.Millis
 }
 
 // Burst multiplies a team's request rate by Factor from From until To.
@@ -56,6 +63,17 @@
 	Retries bool
 }
 
+// routes returns a route for each kind.
+func (l Load) routes() []route.Route {
+	var out []route.Route
+	for _, k := range l.Kinds {
+		out = append(out, route.New(route.Options{
+			Name: k.Name, Kind: route.Stream, PauseGoal: k.PauseGoal, Targets: []route.Target{{Service: service, Weight: 1}},
+		}))
+	}
+	return out
+}
+
 // arrival is one request of a load and the router that it first reaches.
 type arrival struct {
 	at     clock.Millis
@@ -84,6 +102,16 @@
 	return out
 }
 
+// ownTokens returns the size of a prompt's own part for a normally distributed number.
+func (k *Kind) ownTokens(x float64) int64 {
+	spread := cmp.Or(k.Spread, 1)
+	n := max(1, int64(float64(k.Own)*math.Exp(spread*x-spread*spread/2)))
+	if k.MaxOwn > 0 {
+		n = min(n, k.MaxOwn)
+	}
+	return n
+}
+
 // teamArrivals draws one team's requests of one kind: a Poisson process whose rate is multiplied during bursts.
 func (l Load) teamArrivals(r *rand.Rand, k *Kind, team int, share float64) []arrival {
 	var out []arrival
@@ -110,7 +138,7 @@
 				{ID: fmt.Sprintf("%s-shared-%d", k.Name, shared), Tokens: k.Shared},
 				{
 					ID:     fmt.Sprintf("%s-%d-%d", k.Name, team, len(out)),
-					Tokens: max(1, int64(float64(k.Own)*math.Exp(r.NormFloat64()-0.5))),
+					Tokens: k.ownTokens(r.NormFloat64()),
 				},
 			},
 		})
--- a/internal/experiment/sites.go
+++ b/internal/experiment/sites.go
@@ -40,6 +40,28 @@
 	return site, load
 }
 
+// LongPrompts returns a site of forty engines of two speeds and twenty routers that know each other's prompts 100 to
+// 300 ms late. Long prompts are read beside many short streams. The rates are those at full use, times the given
+// utilisation.
+func LongPrompts(seed uint64, utilisation float64) (Site, Load) {
+	site, load := Crowded(seed)
+	site.Engines, site.SlowEngines, site.Slowness, site.TokensPerSecond = 40, 20, 1.5, 2_000_000
+	site.Exchange, site.ReportDelay = 200, 100
+	site.Engine.EventTokens = 7
+	load.Routers, load.Bursts = 20, nil
+	load.Kinds = []Kind{
+		{
+			Name: "review", PerSecond: 150 * utilisation, Prefix: 512, Prefixes: 1, Shared: 4900, SharedParts: 97, Own: 6600,
+			Spread: 1.4, MaxOwn: 54_600, Output: 380, Goal: 1500, Limit: 30 * clock.Second, PauseGoal: 500,
+		},
+		{
+			Name: "note", PerSecond: 600 * utilisation, Prefix: 120, Prefixes: 20, Shared: 80, SharedParts: 260, Own: 400,
+			Output: 290, Goal: 600, Limit: 20 * clock.Second, PauseGoal: 400,
+		},
+	}
+	return site, load
+}
+
 // StickyBursts returns a site of twelve routers behind a balancer that keeps the connections of one client on one
 // router. Each of four teams floods through a single router, three of which have little CPU time, while a fifth team
 // floods through all.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -65,6 +65,8 @@
 	// routesByHost holds the routes of each host, the longest prefix first.
 	routesByHost map[string][]route.Route
 	services     map[string]Service
+	// pauseGoals holds the shortest pause goal of the routes to a service; services without any are missing.
+	pauseGoals map[string]clock.Millis
 	// teamByKey holds the name of the team of each key.
 	teamByKey  map[string]string
 	requireKey bool
@@ -75,11 +77,17 @@
 func New(o Options) *Table {
 	t := &Table{
 		version: o.Version, routesByHost: make(map[string][]route.Route), services: make(map[string]Service),
-		teamByKey: make(map[string]string), requireKey: o.RequireKey, limits: o.Limits,
+		pauseGoals: make(map[string]clock.Millis),
+		teamByKey:  make(map[string]string), requireKey: o.RequireKey, limits: o.Limits,
 	}
 	for _, r := range o.Routes {
 		h := strings.ToLower(r.Host())
 		t.routesByHost[h] = append(t.routesByHost[h], r)
+		for _, target := range r.Targets() {
+			if goal := r.PauseGoal(); goal > 0 && r.Stream() {
+				t.pauseGoals[target.Service] = min(goal, cmp.Or(t.pauseGoals[target.Service], goal))
+			}
+		}
 	}
 	for _, routes := range t.routesByHost {
 		slices.SortStableFunc(routes, func(a, b route.Route) int {
@@ -140,6 +148,9 @@
 	return s, ok
 }
 
+// PauseGoal returns the shortest pause goal of the streams that run at a service; 0 if none has a pause goal.
+func (t *Table) PauseGoal(service string) clock.Millis { return t.pauseGoals[service] }
+
 // Team returns the name of the team that the key authenticates.
 func (t *Table) Team(key string) (string, bool) {
 	name, ok := t.teamByKey[key]
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -95,6 +95,9 @@
 // PauseGoal returns the latency goal for the time between two events of a stream; 0 for none.
 func (r Route) PauseGoal() clock.Millis { return r.o.PauseGoal }
 
+// Targets returns the services among which the route's requests are divided. The slice must not be changed.
+func (r Route) Targets() []Target { return r.o.Targets }
+
 // Service returns the service for a request. The fraction, at least 0 and below 1, selects a target in proportion to
 // the weights.
 func (r Route) Service(fraction float64) string {
