--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -50,7 +50,7 @@
 	return b.String()
 }
 
-// misbehaviours returns the kinds. The first eight are those measured in docs/design/demands.md.
+// misbehaviours returns the kinds. The first eight are those that the operators' trial showed.
 func misbehaviours() []misbehaviour {
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)
 	chunked := "Transfer-Encoding: chunked\r\n\r\n"
