--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -46,7 +46,7 @@
 	// The routers end with the thread that started them, so that none outlives this process.
 	runtime.LockOSThread()
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: review2 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD")
 		os.Exit(cannotRun)
 	}
 	play, ok := cases[os.Args[1]]
@@ -57,7 +57,7 @@
 	os.Exit(start(play, os.Args[2]))
 }
 
-func start(play func(*run) int, folder string) int {
+func start(play func(*run) int, record string) int {
 	root, err := os.Getwd()
 	if err != nil {
 		return cannotRun
@@ -77,7 +77,7 @@
 			fmt.Println("logs:", dir)
 		}
 	}()
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+	f, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return cannotRun
